Front: a silent or idle client link makes room at the bound; half messages end in 2 s

The log of every gateway says "too many client links" from then on, without end, and descriptors stood at 121 of 256. At fault: Front.opened, lines 47 to 53, and the bound of 96 links for 256 descriptors in Server.start. Now: links that have asked nothing whole end after 2 s, half a message after 2 s with a complaint, links with no open query after 2.2 s once half of the bound is used (30 s else); at the bound the least missed one makes room. Client links get two parts of three of the descriptors.

--- a/src/main/java/stonelb/Server.java
+++ b/src/main/java/stonelb/Server.java
@@ -26,7 +26,7 @@
     private static final double LONGEST_MS = 3000;  // and no deadline counts for longer
     private static final double ANSWER_MS = 250;    // over that: all is answered by then, well before SIGKILL
     private static final double STEP_MS = 20;
-    private static final int SPARE_SOCKETS = 64;    // of files, discovery, the counter and the loop
+    private static final int SPARE_SOCKETS = 48;    // of files, discovery, the counter and the loop
 
     private final Configuration config;
     private final OpenApiSettings openApi;   // null: that front is off
@@ -46,8 +46,8 @@
     void start() throws IOException, Configuration.Invalid {
         CountDownLatch done = new CountDownLatch(1);
         Exception[] failed = new Exception[1];
-        // Client links of each front, and server links of each protocol, get an equal part.
-        int part = Math.max(16, (config.sockets() - SPARE_SOCKETS) / (openApi == null ? 2 : 4));
+        // Client links get two parts of three, since clients keep theirs idle; each front and protocol the same.
+        int part = Math.max(8, (config.sockets() - SPARE_SOCKETS) / (openApi == null ? 3 : 6));
         loop.execute(() -> {
             try {
                 wire(part);
@@ -80,8 +80,8 @@
         log.say(config.name() + " serves " + what + " on " + bound.getHostString() + ":" + bound.getPort());
     }
 
-    private void wire(int mostLinks) throws Configuration.Invalid {
-        ServerLinks links = new ServerLinks(loop, log, config.connectTimeoutMs(), config.connIdleMs(), mostLinks,
+    private void wire(int part) throws Configuration.Invalid {
+        ServerLinks links = new ServerLinks(loop, log, config.connectTimeoutMs(), config.connIdleMs(), part,
                 openApi == null ? 0 : openApi.serverPort());
         CounterCalls counter = new CounterCalls(loop, log, config.counter(), config.settings().counter().waitMs());
         core = new Core(config.settings(), config.seed(), loop.timers(), links, counter,
@@ -96,9 +96,9 @@
                 throw new Configuration.Invalid("'known' in the configuration is not valid: " + e.getMessage());
             }
         }
-        fronts.add(new PlatformFront(loop, log, core, config, mostLinks, () -> !group.isEmpty()));
+        fronts.add(new PlatformFront(loop, log, core, config, 2 * part, () -> !group.isEmpty()));
         if (openApi != null) {
-            fronts.add(new OpenApiFront(loop, log, core, config, openApi, mostLinks));
+            fronts.add(new OpenApiFront(loop, log, core, config, openApi, 2 * part));
         }
         new Watch(loop, log, config.discovery(), group).begin();
     }
--- a/src/main/java/stonelb/front/Front.java
+++ b/src/main/java/stonelb/front/Front.java
@@ -7,13 +7,19 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import stonelb.core.Core;
+import stonelb.core.Timers;
 import stonelb.io.Log;
 import stonelb.io.Loop;
 
 /** Listens for clients, owns their links, and bounds what they may leave open. */
-public abstract class Front {
+public abstract class Front implements Timers.Due {
     static final double CROWDED_MS = 500;               // to stay away while too much is open
     private static final double LINGER_MS = 200;
+    private static final double SWEEP_MS = 250;
+    private static final double SILENT_MS = 2000;       // nothing whole asked for so long: owed a close within 3 s
+    private static final double IDLE_MS = 2200;         // with no open query: such a link may be closed after 2 s
+    private static final double QUIET_MS = 30_000;      // the same while there is plenty of room
+    private static final double YOUNG_MS = 250;         // one that has said nothing yet may still be on its way
     private static final long MOST_BYTES = 12L << 20;   // of requests held, of the 48 MB heap
 
     private final Loop loop;
@@ -22,6 +28,8 @@
     private final int mostOpen;
     private final int mostLinks;
     private final Set<FrontLink> links = new LinkedHashSet<>();
+    private final Set<FrontLink> unheard = new LinkedHashSet<>();   // have asked nothing whole yet, oldest first
+    private final Set<FrontLink> idle = new LinkedHashSet<>();      // have asked and have nothing open, longest first
     private final Set<FrontLink> ending = new LinkedHashSet<>();
     private Channel listener;
     private long bytes;
@@ -38,6 +46,7 @@
 
     public final InetSocketAddress listen(InetSocketAddress at) throws InterruptedException {
         listener = loop.listen(at, () -> (ChannelHandler) accept(log));
+        loop.execute(() -> loop.timers().after(SWEEP_MS, this, 0));
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -45,19 +54,77 @@
         return loop.now();
     }
 
+    /**
+     * Guards against links that clients keep for good, or open and say nothing on: at the bound the one that has
+     * been of no use for longest makes room. The newest, which most likely brings a query, is turned away last.
+     */
     final void opened(FrontLink link) {
         links.add(link);
         if (links.size() > mostLinks) {
-            log.warn("too many client links", "one more is closed");
-            link.close();
+            FrontLink leaver = leaver(now());
+            if (leaver == null) {
+                log.warn("too many client links", "one more is closed");
+                link.close();
+                return;
+            }
+            closed(leaver);   // at once: its end is told only later, and the next newcomer may come before
+            leaver.close();
         }
+        unheard.add(link);
+    }
+
+    /** The link that is missed least: silent for a while, then idle for a while, then idle, then silent. */
+    private FrontLink leaver(double now) {
+        FrontLink silent = first(unheard);
+        FrontLink unused = first(idle);
+        if (silent != null && (now - silent.restsSince() > YOUNG_MS || unused == null)) {
+            return silent;
+        }
+        return unused;
+    }
+
+    private static FrontLink first(Set<FrontLink> set) {
+        return set.isEmpty() ? null : set.iterator().next();
     }
 
     final void closed(FrontLink link) {
         links.remove(link);
+        unheard.remove(link);
+        idle.remove(link);
         ending.remove(link);
     }
 
+    /** The link has a query open. */
+    final void works(FrontLink link) {
+        unheard.remove(link);
+        idle.remove(link);
+    }
+
+    /** Nothing is open on the link any more. */
+    final void rests(FrontLink link) {
+        if (links.contains(link)) {
+            idle.add(link);
+        }
+    }
+
+    /** Gives back the links that are of no use, and those on which a message stays half sent. */
+    @Override
+    public final void due(double now, long token) {
+        loop.timers().after(SWEEP_MS, this, 0);
+        closeResting(unheard, now - SILENT_MS);
+        closeResting(idle, now - (links.size() > mostLinks / 2 ? IDLE_MS : QUIET_MS));
+        for (FrontLink link : new ArrayList<>(links)) {
+            link.stalled(now - SILENT_MS);
+        }
+    }
+
+    private static void closeResting(Set<FrontLink> set, double before) {
+        for (FrontLink link = first(set); link != null && link.restsSince() < before; link = first(set)) {
+            set.remove(link);
+            link.giveUp();
+        }
+    }
+
     final boolean admits(FrontQuery query) {
         return core.open() < mostOpen && bytes + query.size() <= MOST_BYTES;
     }
--- a/src/main/java/stonelb/front/FrontLink.java
+++ b/src/main/java/stonelb/front/FrontLink.java
@@ -32,6 +32,8 @@
     private final Front front;
     private final ArrayDeque<Slot> order = new ArrayDeque<>();
     private boolean last;   // nothing more is read: it closes after its answers
+    private double restsSince;     // of being up, or of the last answer
+    private double partSince = -1; // a message has begun and is not whole, or below 0
 
     protected FrontLink(Front front, Log log) {
         super(MOST_BYTES, log);
@@ -45,20 +47,24 @@
     /** Takes one message off the input and acts on it; false where it is not whole yet. */
     protected abstract boolean readOne() throws Malformed;
 
+    /** Whether a message has begun and is not whole. */
+    protected abstract boolean within();
+
     /** Says on the wire what was wrong with the input. */
     protected abstract Slot complaint(String why);
 
     @Override
     protected final void opened() {
+        restsSince = front.now();
         front.opened(this);
     }
 
     @Override
     protected final void received() throws Malformed {
-        boolean more = true;
-        while (more && !last && order.size() < MOST_WAITING) {
-            more = readOne();
+        while (!last && order.size() < MOST_WAITING && readOne()) {
+            partSince = -1;
         }
+        partSince = !within() ? -1 : partSince < 0 ? front.now() : partSince;
         if (last) {
             in.skip(in.size());   // what comes after the end can't be told apart
         }
@@ -67,7 +73,7 @@
 
     /** Begins a query, or throttles it where the front holds too much already. */
     protected final void ask(FrontQuery query) {
-        order.add(query);
+        enqueue(query);
         if (front.admits(query)) {
             front.begin(query);
         } else {
@@ -77,10 +83,38 @@
     }
 
     protected final void answer(Slot slot) {
-        order.add(slot);
+        enqueue(slot);
         flush();
     }
 
+    private void enqueue(Slot slot) {
+        if (order.isEmpty()) {
+            front.works(this);
+        }
+        order.add(slot);
+    }
+
+    /** Since when nothing has been open on it. */
+    final double restsSince() {
+        return restsSince;
+    }
+
+    /** Ends a link of no use: half a message is complained of, all else ends without a word. */
+    final void giveUp() {
+        if (partSince >= 0 && !last) {
+            malformed("a message stays half sent");
+        } else {
+            close();
+        }
+    }
+
+    /** Guards against input that never becomes whole, behind queries that are open too. */
+    final void stalled(double before) {
+        if (partSince >= 0 && partSince < before && !last) {
+            malformed("a message stays half sent");
+        }
+    }
+
     /** Nothing more is read on it; it ends once nothing is owed. */
     protected final void lastRead() {
         last = true;
@@ -104,6 +138,10 @@
         if (full && !last) {
             front.later(this);
         }
+        if (order.isEmpty()) {
+            restsSince = front.now();
+            front.rests(this);
+        }
         endIfLast();
     }
 
--- a/src/main/java/stonelb/openapi/HttpClientLink.java
+++ b/src/main/java/stonelb/openapi/HttpClientLink.java
@@ -146,6 +146,11 @@
         answer(new HttpAnswer(this, m.first().equals("HEAD"), status, detail, headers));
     }
 
+    @Override
+    protected boolean within() {
+        return parser.within();
+    }
+
     @Override
     protected Slot complaint(String why) {
         return new HttpAnswer(this, false, 400, why, Map.of());
--- a/src/main/java/stonelb/platform/ClientLink.java
+++ b/src/main/java/stonelb/platform/ClientLink.java
@@ -74,6 +74,11 @@
         ask(new PlatformQuery(this, words, terms));
     }
 
+    @Override
+    protected boolean within() {
+        return parser.within();
+    }
+
     @Override
     protected Slot complaint(String why) {
         return new Line("-ERR Protocol error: " + why);
--- a/src/test/java/stonelb/OpenApiTest.java
+++ b/src/test/java/stonelb/OpenApiTest.java
@@ -112,6 +112,16 @@
         assertEquals(200, get("/v1/plans/7", 5000, "x").status());
     }
 
+    @Test
+    void aSilentLinkIsEndedAndHalfAMessageIsComplainedOf() throws IOException {
+        try (Client silent = new Client(client.socket.getPort())) {
+            Peer.Http answer = client.http("POST /v1/logs HTTP/1.1\r\nContent-Length: 5\r\n\r\nhal");
+            assertEquals(400, answer.status());
+            assertEquals(-1, client.in.read());
+            assertEquals(-1, silent.in.read());
+        }
+    }
+
     @Test
     void throttlesWith429AndSaysWhenToComeBack() throws IOException {
         Peer.Http last = null;
--- a/src/test/java/stonelb/PlatformTest.java
+++ b/src/test/java/stonelb/PlatformTest.java
@@ -7,6 +7,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -166,6 +168,41 @@
         assertEquals("echo on", read("open", 9000, "on"));
     }
 
+    /** Guards against clients that ask once and keep their link: they would fill the bound, and the newest be turned away. */
+    @Test
+    void theNewestClientIsServedThoughOthersKeepAllLinks() throws Exception {
+        String config = around.config("127.0.0.1:0", Program.OPEN).replace("\"sockets\":1024", "\"sockets\":100");
+        List<Client> all = new ArrayList<>();
+        try (Program other = new Program(folder, config, null)) {
+            for (int i = 0; i < 120; i++) {
+                Client c = new Client(other.port("the platform"));
+                all.add(c);
+                if (i % 3 > 0) {
+                    assertEquals("echo x", c.ask("Q.ASK", "1", Integer.toHexString(i), list("read", "open", 9000), "x"));
+                }
+            }
+            assertNull(other.line("too many client links"));
+        } finally {
+            for (Client c : all) {
+                c.close();
+            }
+        }
+    }
+
+    @Test
+    void aSilentLinkIsEndedAndHalfAMessageIsComplainedOf() throws Exception {
+        try (Client silent = new Client(client.socket.getPort()); Client half = new Client(client.socket.getPort())) {
+            half.write("*4\r\n$5\r\nQ.A");
+            client.command("Q.ASK", "1", "1", list("read", "open", 15_000), "slow 4000");
+            client.write("*4\r\n$5\r\n");
+            assertEquals(-1, silent.in.read());
+            assertTrue(Peer.resp(half.in).startsWith("-ERR Protocol error"));
+            assertEquals(-1, half.in.read());
+            assertEquals("echo slow 4000", Peer.resp(client.in), "what was whole before is still answered");
+            assertTrue(Peer.resp(client.in).startsWith("-ERR Protocol error"));
+        }
+    }
+
     @Test
     void aSilentCounterLeavesAShare() throws IOException {
         around.counterSilent = true;
