SIGHUP reads the configuration again and moves discovery and counter over under load

Nothing handled SIGHUP (Main.serve), and the JVM ends on it. Checked: a test that replaces the file under load found a second fault: a server link at work while discovery changes its plan server's address, or tells of a fresh process, went back to the pool when it came free and was used again (Pool.free); now a link remembers the process it leads to. Now: Reload keeps the signal from the start on, a thread of its own reads and checks the file, and the loop takes over in one step. Discovery: the old watch serves until the new one has brought the whole list; the version moved from HostGroup into the watch, as each discovery counts its own. Counter: each link serves on until its successor is up and none of its calls is out, so a name's answers keep their order.

--- a/src/main/java/stonelb/Main.java
+++ b/src/main/java/stonelb/Main.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import stonelb.config.Configuration;
+import stonelb.io.Log;
 import stonelb.openapi.OpenApiSettings;
 
 /** The program: {@code serve} is one real gateway, {@code benchlink} the same decisions on the simulator's wire. */
@@ -22,10 +23,12 @@
     }
 
     private static void serve() {
+        Reload reload = new Reload(new Log());
         try {
             Server server = new Server(Configuration.read(System.getenv()), OpenApiSettings.read(Path.of(
                     System.getenv().getOrDefault("STONELB_OPENAPI", "deploy/openapi.json"))));
             server.start();
+            reload.begin(System.getenv(), server::reload);
             // The hook must not return before the hand-over is done: the program ends when it does.
             Runtime.getRuntime().addShutdownHook(new Thread(server::handOver, "hand-over"));
         } catch (Configuration.Invalid e) {
--- a/src/main/java/stonelb/Server.java
+++ b/src/main/java/stonelb/Server.java
@@ -9,8 +9,8 @@
 import stonelb.config.Configuration;
 import stonelb.core.Core;
 import stonelb.counter.CounterCalls;
+import stonelb.discovery.Discovery;
 import stonelb.discovery.HostGroup;
-import stonelb.discovery.Watch;
 import stonelb.front.Front;
 import stonelb.io.Log;
 import stonelb.io.Loop;
@@ -35,6 +35,8 @@
     private final CountDownLatch over = new CountDownLatch(1);
     private Core core;
     private HostGroup group;
+    private Discovery discovery;
+    private CounterCalls counter;
     private final List<Front> fronts = new ArrayList<>();
     private boolean answered;
 
@@ -83,7 +85,7 @@
     private void wire(int part) throws Configuration.Invalid {
         ServerLinks links = new ServerLinks(loop, log, config.connectTimeoutMs(), config.connIdleMs(), part,
                 openApi == null ? 0 : openApi.serverPort());
-        CounterCalls counter = new CounterCalls(loop, log, config.counter(), config.settings().counter().waitMs());
+        counter = new CounterCalls(loop, log, config.counter(), config.settings().counter().waitMs());
         core = new Core(config.settings(), config.seed(), loop.timers(), links, counter,
                 e -> log.warn("internal error", e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?")));
         links.begin(core);
@@ -100,7 +102,21 @@
         if (openApi != null) {
             fronts.add(new OpenApiFront(loop, log, core, config, openApi, 2 * part));
         }
-        new Watch(loop, log, config.discovery(), group).begin();
+        discovery = new Discovery(loop, log, group);
+        discovery.begin(config.discovery());
+    }
+
+    /** SIGHUP: takes over where discovery and the counter are; all else of a configuration needs a start. */
+    void reload(Configuration now) {
+        loop.execute(() -> {
+            log.say("configuration read again");
+            if (!now.listen().equals(config.listen()) || !now.settings().equals(config.settings())
+                    || now.sockets() != config.sockets()) {
+                log.say("configuration: of what changed, 'listen', 'limits' and 'settings' need a restart");
+            }
+            discovery.move(now.discovery());
+            counter.move(now.counter());
+        });
     }
 
     /** SIGTERM: goes on serving while clients are led elsewhere, answers all it has taken, then ends. */
--- a/src/main/java/stonelb/counter/CounterCalls.java
+++ b/src/main/java/stonelb/counter/CounterCalls.java
@@ -14,9 +14,10 @@
 
     private final Loop loop;
     private final Log log;
-    private final InetSocketAddress at;
     private final double waitMs;
     private final CounterLink[] links = new CounterLink[LINKS];
+    private final CounterLink[] next = new CounterLink[LINKS];   // to where the counter has moved
+    private InetSocketAddress at;
     private Answers answers;
 
     public CounterCalls(Loop loop, Log log, InetSocketAddress at, double waitMs) {
@@ -36,6 +37,50 @@
         loop.timers().after(SWEEP_MS, this, 0);
     }
 
+    /**
+     * Moves the calls to where the counter is now. Each link serves on until its successor is up and none of its
+     * calls is out: no call is lost, and answers for a name keep their order.
+     */
+    public void move(InetSocketAddress to) {
+        if (java.util.Objects.equals(to, at)) {
+            return;
+        }
+        at = to;
+        for (int i = 0; i < LINKS; i++) {
+            if (next[i] != null) {
+                next[i].retire(loop);
+                next[i] = null;
+            }
+            if (links[i] != null && !links[i].ended() && to != null) {
+                next[i] = connected();
+            }
+        }
+    }
+
+    private CounterLink connected() {
+        CounterLink link = new CounterLink(this, at, log);
+        link.connect(loop);
+        return link;
+    }
+
+    /** The link for the next call of a lane. */
+    private CounterLink link(int i) {
+        if (next[i] != null && next[i].ended()) {
+            next[i] = connected();
+        }
+        boolean over = links[i] == null || links[i].ended();
+        if (next[i] != null && (over || next[i].isUp() && links[i].settled())) {
+            if (!over) {
+                links[i].retire(loop);
+            }
+            links[i] = next[i];
+            next[i] = null;
+        } else if (over) {
+            links[i] = connected();
+        }
+        return links[i];
+    }
+
     @Override
     public void add(long name, double amount, double keepMs) {
         CounterCall call = new CounterCall(this, name, amount, keepMs, loop.now());
@@ -43,20 +88,18 @@
         if (at == null || !Double.isFinite(amount)) {
             return;   // no counter is there, or the amount is none: the call ends as one that could not connect
         }
-        int i = Math.floorMod(Long.hashCode(name), LINKS);
-        if (links[i] == null || links[i].ended()) {
-            links[i] = new CounterLink(this, at, log);
-            links[i].connect(loop);
-        }
-        links[i].add(call);
+        link(Math.floorMod(Long.hashCode(name), LINKS)).add(call);
     }
 
     @Override
     public void due(double now, long token) {
         loop.timers().after(SWEEP_MS, this, 0);
-        for (CounterLink link : links) {
-            if (link != null) {
-                link.sweep(now);
+        for (int i = 0; i < LINKS; i++) {
+            if (links[i] != null) {
+                links[i].sweep(now);
+            }
+            if (next[i] != null) {
+                next[i].sweep(now);
             }
         }
     }
--- a/src/main/java/stonelb/counter/CounterLink.java
+++ b/src/main/java/stonelb/counter/CounterLink.java
@@ -26,6 +26,7 @@
     private final ArrayDeque<CounterCall> out = new ArrayDeque<>();       // written, in order
     private final ArrayDeque<CounterCall> unsent = new ArrayDeque<>();    // while it connects
     private boolean ended;
+    private boolean retired;   // takes no call any more, and ends once those that are out are answered
     private double usedAt;
 
     CounterLink(CounterCalls owner, InetSocketAddress at, Log log) {
@@ -39,6 +40,28 @@
         return ended;
     }
 
+    boolean isUp() {
+        return isOpen();
+    }
+
+    /** Whether nobody waits for an answer on it. */
+    boolean settled() {
+        return unsent.isEmpty() && out.stream().allMatch(CounterCall::reported);
+    }
+
+    /** The counter has moved: no call comes any more, and what is out may still be answered for a while. */
+    void retire(Loop loop) {
+        retired = true;
+        endIfRetired();
+        loop.timers().after(SILENT_MS, (now, token) -> close(), 0);
+    }
+
+    private void endIfRetired() {
+        if (retired && out.isEmpty()) {
+            close();
+        }
+    }
+
     void connect(Loop loop) {
         loop.connect(at, CONNECT_MS, this, f -> {
             if (!f.isSuccess()) {
@@ -68,6 +91,10 @@
 
     @Override
     protected void opened() {
+        if (retired) {
+            close();
+            return;
+        }
         for (CounterCall call = unsent.poll(); call != null; call = unsent.poll()) {
             if (!call.reported()) {
                 write(call);
@@ -89,6 +116,7 @@
                 return;
             }
         }
+        endIfRetired();
     }
 
     private void take(CounterCall call, HttpMessage m) throws Malformed {
--- a/src/main/java/stonelb/discovery/HostGroup.java
+++ b/src/main/java/stonelb/discovery/HostGroup.java
@@ -24,7 +24,6 @@
     private final Core core;
     private final ServerLinks links;
     private final Map<String, Long> ids = new HashMap<>();
-    private long index = -1;
 
     public HostGroup(List<String> zones, Core core, ServerLinks links) {
         this.zones = zones;
@@ -32,30 +31,20 @@
         this.links = links;
     }
 
-    /** The version held, or -1 while there is none. */
-    long index() {
-        return index;
-    }
-
-    /** The version held can't be built on: the next call asks for the whole list. */
-    void forget() {
-        index = -1;
-    }
-
     /** The list as this gateway last held it; it serves until discovery answers. */
     public void known(JsonObject list) throws Malformed {
         take(list, ListMode.CACHED);
-        index = -1;   // it may be old: discovery is asked for the whole list
     }
 
     public boolean isEmpty() {
         return ids.isEmpty();
     }
 
-    void take(byte[] body) throws Malformed {
+    /** Takes an answer of discovery and gives its version. */
+    long take(byte[] body) throws Malformed {
         JsonObject list = parsed(body);
         JsonElement whole = list.get("snapshot");
-        take(list, whole != null && whole.isJsonPrimitive() && whole.getAsBoolean() ? ListMode.FULL
+        return take(list, whole != null && whole.isJsonPrimitive() && whole.getAsBoolean() ? ListMode.FULL
                 : ListMode.DELTA);
     }
 
@@ -72,16 +61,16 @@
         }
     }
 
-    private void take(JsonObject list, ListMode mode) throws Malformed {
+    private long take(JsonObject list, ListMode mode) throws Malformed {
         try {
-            read(list, mode);
+            return read(list, mode);
         } catch (IllegalStateException | UnsupportedOperationException | ClassCastException
                 | NumberFormatException e) {
             throw new Malformed("the list is not the JSON expected");
         }
     }
 
-    private void read(JsonObject list, ListMode mode) throws Malformed {
+    private long read(JsonObject list, ListMode mode) throws Malformed {
         List<Server> servers = new ArrayList<>();
         List<Runnable> places = new ArrayList<>();
         for (JsonElement e : Json.array(list, "endpoints")) {
@@ -108,10 +97,10 @@
         if (mode != ListMode.DELTA) {
             links.only(servers.stream().map(Server::id).collect(Collectors.toSet()));
         }
-        index = version;
         if (!servers.isEmpty() || mode != ListMode.DELTA) {
             core.servers(mode, servers);
         }
+        return version;
     }
 
     private static InetSocketAddress address(JsonObject o) throws Malformed {
--- a/src/main/java/stonelb/discovery/Watch.java
+++ b/src/main/java/stonelb/discovery/Watch.java
@@ -11,7 +11,7 @@
 import stonelb.io.Loop;
 import stonelb.io.Malformed;
 
-/** The watch on discovery: one call after the other, for as long as the gateway lives. */
+/** The watch on discovery at one address: one call after the other, until it is told to stop. */
 public final class Watch implements Timers.Due {
     private static final int WAIT_MS = 5000;
     private static final int SPARE_MS = 1500;     // beyond the wait: discovery is silent
@@ -24,20 +24,43 @@
     private final Log log;
     private final InetSocketAddress at;
     private final HostGroup group;
+    private final Runnable onList;
     private Call call;
+    private long index = -1;   // the version held; -1: the next call asks for the whole list
+    private boolean stopped;
     private long turn;   // of the call or pause under way; timers of earlier ones are passed over
 
-    public Watch(Loop loop, Log log, InetSocketAddress at, HostGroup group) {
+    /** {@code onList} is told of every answer taken; by the first one, this watch has the whole list. */
+    Watch(Loop loop, Log log, InetSocketAddress at, HostGroup group, Runnable onList) {
         this.loop = loop;
         this.log = log;
         this.at = at;
         this.group = group;
+        this.onList = onList;
     }
 
-    public void begin() {
+    InetSocketAddress at() {
+        return at;
+    }
+
+    void begin() {
         connect();
     }
 
+    void stop() {
+        stopped = true;
+        turn++;
+        if (call != null) {
+            call.close();
+            call = null;
+        }
+    }
+
+    private void take(HttpMessage m) throws Malformed {
+        index = group.take(m.body());
+        onList.run();
+    }
+
     private void connect() {
         Call next = new Call();
         call = next;
@@ -49,8 +72,8 @@
     }
 
     private void lost(Call which, String why) {
-        if (which == call) {
-            log.warn("discovery lost", why + "; the last list serves on");
+        if (which == call && !stopped) {
+            log.warn("discovery lost", at.getHostString() + ":" + at.getPort() + ", " + why + "; the last list serves on");
             which.close();
             call = null;
             loop.timers().after(AGAIN_MS, this, ++turn);
@@ -79,13 +102,17 @@
 
         @Override
         protected void opened() {
-            ask();
+            if (this == call) {
+                ask();
+            } else {
+                close();   // the watch was stopped while it connected
+            }
         }
 
         private void ask() {
-            boolean first = group.index() < 0;
+            boolean first = index < 0;
             ByteBuf out = buffer(128);
-            out.writeCharSequence("GET /catalog/members" + (first ? "" : "?index=" + group.index() + "&wait=" + WAIT_MS)
+            out.writeCharSequence("GET /catalog/members" + (first ? "" : "?index=" + index + "&wait=" + WAIT_MS)
                     + " HTTP/1.1\r\nHost: " + at.getHostString() + ":" + at.getPort() + "\r\n\r\n",
                     StandardCharsets.US_ASCII);
             send(out);
@@ -97,11 +124,11 @@
             HttpMessage m = parser.next(in);
             if (m != null && this == call) {
                 if (m.status() != 200) {
-                    group.forget();   // it may know our version no more, and would say so for ever
+                    index = -1;   // it may know our version no more, and would say so for ever
                     lost(this, "it answered " + m.status());
                     return;
                 }
-                group.take(m.body());
+                take(m);
                 if (m.keepsAlive()) {
                     ask();
                 } else {
@@ -112,7 +139,7 @@
 
         @Override
         protected void malformed(String why) {
-            group.forget();
+            index = -1;
             lost(this, why);
         }
 
@@ -121,7 +148,7 @@
             HttpMessage m = parser.end();
             if (m != null && m.status() == 200 && this == call) {
                 try {
-                    group.take(m.body());
+                    take(m);
                 } catch (Malformed e) {
                     lost(this, e.getMessage());
                 }
--- a/src/main/java/stonelb/server/Pool.java
+++ b/src/main/java/stonelb/server/Pool.java
@@ -19,6 +19,7 @@
     private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
     private int links;        // up or coming up
     private int connecting;
+    private int process;      // grows when another process, or another place, answers to the name
 
     Pool(ServerLinks owner, Outbound.Kind kind, String name, InetSocketAddress address) {
         this.owner = owner;
@@ -39,10 +40,19 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
-    /** Discovery has moved the plan server: idle links lead to the old place. */
-    void moved(InetSocketAddress to) {
-        if (!to.equals(address)) {
+    /** The process at the other end: a link to an earlier one is not used again. */
+    int process() {
+        return process;
+    }
+
+    /**
+     * Discovery has moved the plan server, or its process is a fresh one. Guards against links to the one before:
+     * idle ones end here, those at work when they come free, in {@link #free}.
+     */
+    void moved(InetSocketAddress to, boolean fresh) {
+        if (fresh || !to.equals(address)) {
             address = to;
+            process++;
             closeIdle(Double.MAX_VALUE);
         }
     }
@@ -109,6 +119,10 @@
 
     /** A link has nothing to do: an attempt that waits gets it, if it may still be written. */
     void free(ServerLink link) {
+        if (link.process() != process) {
+            link.close();
+            return;
+        }
         for (Attempt a = waiting.poll(); a != null; a = waiting.poll()) {
             if (owner.mayWrite(a)) {
                 link.start(a);
--- a/src/main/java/stonelb/server/ServerLink.java
+++ b/src/main/java/stonelb/server/ServerLink.java
@@ -15,6 +15,7 @@
     private static final int MOST_BYTES = 256 * 1024;
 
     private final Pool pool;
+    private final int process;
     private Attempt attempt;
     private boolean written;   // the last byte of the attempt has gone out
     private double idleSince;
@@ -22,6 +23,11 @@
     ServerLink(Pool pool, Log log) {
         super(MOST_BYTES, log);
         this.pool = pool;
+        process = pool.process();
+    }
+
+    final int process() {
+        return process;
     }
 
     final double idleSince() {
--- a/src/main/java/stonelb/server/ServerLinks.java
+++ b/src/main/java/stonelb/server/ServerLinks.java
@@ -63,8 +63,8 @@
         for (Outbound.Kind kind : Outbound.Kind.values()) {
             Pool pool = h.pools[kind.ordinal()];
             if (pool != null) {
-                pool.moved(at(h, kind));
-                if (!ready || fresh) {
+                pool.moved(at(h, kind), fresh);
+                if (!ready) {
                     pool.closeIdle(Double.MAX_VALUE);
                 }
             }
--- a/src/test/java/stonelb/Program.java
+++ b/src/test/java/stonelb/Program.java
@@ -74,6 +74,11 @@
         process.toHandle().destroy();   // the process's own destroy would close its log as well
     }
 
+    /** Says that the configuration file has changed. */
+    void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+    }
+
     boolean ended(long ms) throws InterruptedException {
         return process.waitFor(ms, TimeUnit.MILLISECONDS);
     }
--- /dev/null
+++ b/src/test/java/stonelb/ReloadTest.java
@@ -0,0 +1,82 @@
+package stonelb;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import stonelb.Program.Client;
+
+/** A configuration that is replaced under load, told by SIGHUP. */
+class ReloadTest {
+    @TempDir
+    Path folder;
+    private int asked;
+
+    /** A query of a customer that was never seen, so that the counter is called for it. */
+    private void served(Client client) throws Exception {
+        String n = Integer.toHexString(++asked);
+        assertEquals("echo x", client.ask("Q.ASK", n, n, "c=read,t=five,d=9000,units=1,spread=1,first=0", "x"));
+    }
+
+    private void replace(String config, Program program) throws Exception {
+        Files.writeString(folder.resolve("new.json"), config);
+        Files.move(folder.resolve("new.json"), folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE);
+        program.hangUp();
+    }
+
+    @Test
+    void discoveryAndCounterMoveUnderLoadABadFileChangesNothingAndTheHandOverStaysWhole() throws Exception {
+        try (StandIns old = new StandIns(); StandIns now = new StandIns()) {
+            String config = old.config("127.0.0.1:0", Program.FIVE);
+            try (Program program = new Program(folder, config, null);
+                    Client client = new Client(program.port("the platform"))) {
+                served(client);
+                replace("{\"listen\":5", program);
+                Program.until("the bad file is said", () -> program.line("configuration rejected") != null);
+                replace(config.replace(old.counter.address(), "nowhere"), program);
+                Program.until("an address that is none as well", () -> program.log().stream()
+                        .filter(l -> l.contains("configuration rejected")).count() == 2);
+                served(client);
+                assertTrue(old.ran.size() == 2 && !old.added.isEmpty());
+
+                // Its link is at work while the plan server's address changes, and must not be used again.
+                client.command("Q.ASK", "1", "1", "c=read,t=five,d=9000,units=1,spread=1,first=0", "slow 1000");
+                replace(config.replace(old.discovery.address(), now.discovery.address())
+                        .replace(old.counter.address(), now.counter.address()), program);
+                try (Client other = new Client(program.port("the platform"))) {
+                    Program.until("the new list is in force", () -> {
+                        try {
+                            served(other);
+                        } catch (Exception e) {
+                            throw new AssertionError("a query was lost meanwhile", e);
+                        }
+                        return program.line("discovery moved") != null;
+                    });
+                }
+                assertEquals("echo slow 1000", Peer.resp(client.in));
+                old.discovery.close();
+                old.counter.close();
+                int ranThere = now.ran.size();
+                for (int i = 0; i < 20; i++) {
+                    served(client);
+                }
+                assertEquals(ranThere + 20, now.ran.size(), "the new discovery's list serves");
+                Program.until("the new counter is called", () -> !now.added.isEmpty());
+                assertNull(program.line("discovery lost"));
+                assertNull(program.line("counter can't be reached"));
+                assertNull(program.line("internal error"));
+
+                program.hangUp();
+                program.terminate();
+                served(client);
+                assertTrue(program.ended(20_000));
+                assertTrue(program.line("hand-over done") != null);
+            }
+        }
+    }
+}
