Platform front: check every number, set and id of a request; an open id serves no other

Checked: a request with spread=0 or units=, or with a short, empty or huge customer, went through, and an open query's id as well. Requests.read took any digits, a set of any size and no 'first', and left the id unread; a bad client's units and set so entered the books of the usual customer whose name it used. Now: all that PROTOCOL says of the list is checked, in one pass over its bytes, which also marks where the time left stands, so that nothing is split and joined again when it is written. OpenAPI front: X-Spread and X-Time-Left-Ms in range.

--- a/src/main/java/stonelb/front/Front.java
+++ b/src/main/java/stonelb/front/Front.java
@@ -135,10 +135,15 @@
         core.query(query);
     }
 
+    /** The query has its answer, also one that was not begun, or its client has gone. */
     final void ended(FrontQuery query) {
         bytes -= query.uncount() ? query.size() : 0;
+        over(query);
     }
 
+    /** Told once of every query: what is kept for as long as it is open is given back. */
+    protected void over(FrontQuery query) { }
+
     final void withdraw(FrontQuery query) {
         ended(query);
         core.withdraw(query);
--- a/src/main/java/stonelb/openapi/HttpClientLink.java
+++ b/src/main/java/stonelb/openapi/HttpClientLink.java
@@ -126,9 +126,12 @@
             throw new Malformed("X-Plan names no plan of the settings");
         }
         double spread = number(m, "x-spread", front.gateways());
-        return new Customer(Long.parseUnsignedLong(key, 16), plan,
-                number(m, HttpQuery.TIME_LEFT, front.deadlineMs(route.requestClass())),
-                Math.max(1, (int) spread), m.headers().getOrDefault("x-repeat", "0").equals("1"));
+        double wait = number(m, HttpQuery.TIME_LEFT, front.deadlineMs(route.requestClass()));
+        // Guards against what would spoil the books of a usual customer, whose name anyone may send.
+        if (spread < 1 || spread > front.gateways() || wait < 1) {
+            throw new Malformed("X-Spread or X-Time-Left-Ms is out of range");
+        }
+        return new Customer(Long.parseUnsignedLong(key, 16), plan, wait, (int) spread, m.headers().getOrDefault("x-repeat", "0").equals("1"));
     }
 
     private static double number(HttpMessage m, String header, double otherwise) throws Malformed {
--- a/src/main/java/stonelb/platform/ClientLink.java
+++ b/src/main/java/stonelb/platform/ClientLink.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import stonelb.core.Query;
 import stonelb.front.FrontLink;
 import stonelb.io.Log;
 import stonelb.io.Malformed;
@@ -63,15 +62,16 @@
     }
 
     private void request(boolean repeatable, List<byte[]> words) {
-        Query.Terms terms;
+        PlatformQuery query;
         try {
-            terms = front.requests().read(front.now(), repeatable, words);
+            query = new PlatformQuery(this, words, front.requests().read(front.now(), repeatable, words));
+            front.register(query);
         } catch (Malformed e) {
             log.warn("bad request", e.getMessage());
             answer(new Line("-ERR " + e.getMessage()));
             return;
         }
-        ask(new PlatformQuery(this, words, terms));
+        ask(query);
     }
 
     @Override
--- a/src/main/java/stonelb/platform/PlatformQuery.java
+++ b/src/main/java/stonelb/platform/PlatformQuery.java
@@ -14,12 +14,19 @@
     private static final int LIST = 3;   // the argument that holds names and values
 
     private final List<byte[]> words;
+    private final Requests.Stated stated;
     private byte[] value;
     private String line;
 
-    PlatformQuery(FrontLink link, List<byte[]> words, Terms terms) {
-        super(link, terms);
+    PlatformQuery(FrontLink link, List<byte[]> words, Requests.Stated stated) {
+        super(link, stated.terms());
         this.words = words;
+        this.stated = stated;
+    }
+
+    /** The id that its client gave it. */
+    String wireId() {
+        return new String(words.get(2), StandardCharsets.ISO_8859_1);
     }
 
     @Override
@@ -41,16 +48,13 @@
     public void writeTo(ByteBuf out, long leftMs, String authority) {
         RespWriter.array(out, words.size());
         for (int i = 0; i < words.size(); i++) {
-            RespWriter.bulk(out, i == LIST ? withTime(words.get(i), leftMs) : words.get(i));
-        }
-    }
-
-    private static byte[] withTime(byte[] list, long leftMs) {
-        StringBuilder text = new StringBuilder();
-        for (String pair : new String(list, StandardCharsets.UTF_8).split(",")) {
-            text.append(text.length() > 0 ? "," : "").append(pair.startsWith("d=") ? "d=" + leftMs : pair);
+            if (i == LIST) {
+                byte[] list = words.get(i);
+                RespWriter.bulk(out, list, stated.waitFrom(), stated.waitTo(), leftMs);
+            } else {
+                RespWriter.bulk(out, words.get(i));
+            }
         }
-        return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 
     @Override
--- a/src/main/java/stonelb/resp/RespWriter.java
+++ b/src/main/java/stonelb/resp/RespWriter.java
@@ -15,6 +15,14 @@
         out.writeBytes(value).writeByte('\r').writeByte('\n');
     }
 
+    /** A bulk string in which a number stands in place of the bytes {@code from} to {@code to}. */
+    public static void bulk(ByteBuf out, byte[] value, int from, int to, long number) {
+        byte[] digits = Long.toString(number).getBytes(StandardCharsets.US_ASCII);
+        head(out, '$', from + digits.length + value.length - to);
+        out.writeBytes(value, 0, from).writeBytes(digits).writeBytes(value, to, value.length - to);
+        out.writeByte('\r').writeByte('\n');
+    }
+
     /** A line with its type in front: {@code +OK}, {@code -BUSY}. */
     public static void line(ByteBuf out, String line) {
         out.writeCharSequence(line, StandardCharsets.UTF_8);
--- a/src/test/java/stonelb/ExampleTest.java
+++ b/src/test/java/stonelb/ExampleTest.java
@@ -42,8 +42,8 @@
                             return false;
                         }
                     });
-                    assertTrue(client.ask("Q.ASK", "b4d65521", "1",
-                            "c=plan-read,t=consulta,d=4000,units=1,spread=1,first=0").startsWith("Q.ASK b4d65521 1 c="));
+                    assertTrue(client.ask("Q.ASK", "00000000b4d65521", "1",
+                            "c=plan-read,t=consulta,d=4000,units=1,spread=1,first=0").startsWith("Q.ASK 00000000b4d65521 1 c="));
                 }
                 try (Client client = new Client(program.port("OpenAPI routes"))) {
                     Peer.Http answer = client.http("GET /v1/plans/7 HTTP/1.1\r\nX-Customer: b4d65521\r\n"
--- a/src/test/java/stonelb/PlatformTest.java
+++ b/src/test/java/stonelb/PlatformTest.java
@@ -17,6 +17,8 @@
 
 /** The program over the platform's protocol, among stand-ins. */
 class PlatformTest {
+    private static final String KEY = "0000000000000001";
+
     @TempDir
     Path folder;
     private StandIns around;
@@ -98,9 +100,9 @@
 
     @Test
     void pipelinedAnswersKeepTheirOrder() throws IOException {
-        client.command("Q.ASK", "1", "1", list("read", "open", 9000), "slow 300");
+        client.command("Q.ASK", KEY, "1", list("read", "open", 9000), "slow 300");
         client.command("PING");
-        client.command("Q.ASK", "1", "2", list("read", "open", 9000), "quick");
+        client.command("Q.ASK", KEY, "2", list("read", "open", 9000), "quick");
         assertEquals("echo slow 300", Peer.resp(client.in));
         assertEquals("+PONG", Peer.resp(client.in));
         assertEquals("echo quick", Peer.resp(client.in));
@@ -118,7 +120,7 @@
     void anIdleServerLinkIsRetiredBeforeThePlanServerClosesIt() throws Exception {
         String config = around.config("127.0.0.1:0", Program.OPEN).replace("\"connIdleMs\":30000.0", "\"connIdleMs\":500");
         try (Program other = new Program(folder, config, null); Client c = new Client(other.port("the platform"))) {
-            assertEquals("echo x", c.ask("Q.ASK", "1", "2", list("read", "open", 9000), "x"));
+            assertEquals("echo x", c.ask("Q.ASK", KEY, "2", list("read", "open", 9000), "x"));
             Program.until("the gateway closes it", () -> around.resp.connections() == 0);
         }
     }
@@ -142,7 +144,7 @@
 
     @Test
     void aClientThatLeavesTakesItsAttemptWithIt() throws Exception {
-        client.command("Q.DO", "1", "1", list("log", "open", 15_000), "slow 200");
+        client.command("Q.DO", KEY, "1", list("log", "open", 15_000), "slow 200");
         Program.until("it is out", () -> !around.ran.isEmpty());
         client.close();
         Program.until("the attempt is given up", () -> around.resp.connections() == 0);
@@ -159,13 +161,47 @@
                 assertEquals(-1, other.in.read(), "the link ends");
             }
         }
-        String[][] wrong = {{"Q.ASK", "1", "2"}, {"Q.ASK", "zz", "2", list("read", "open", 1)},
-            {"Q.ASK", "1", "2", list("other", "open", 1)}, {"Q.ASK", "1", "2", list("read", "none", 1)},
-            {"Q.ASK", "1", "2", list("log", "open", 1)}, {"Q.DO", "1", "2", "c=log,t=open,d=-5"}, {"HELLO", "3"}};
+        String good = list("read", "open", 9000);
+        List<String[]> wrong = new ArrayList<>(List.of(new String[] {"HELLO", "3"}, new String[] {"Q.ASK", KEY, "2"},
+                new String[] {"Q.ASK", KEY, "", good}, new String[] {"Q.ASK", KEY, "a b", good},
+                new String[] {"Q.ASK", KEY, "2", list("log", "open", 9000)}));
+        for (String key : new String[] {"zz", "", "1", "00000000zz000001", "0000000200000000", "ffffffffffffffff"}) {
+            wrong.add(new String[] {"Q.ASK", key, "2", good});
+        }
+        for (String[] swap : new String[][] {{"read", "other"}, {"open", "none"}, {"c=read,", ""}, {"t=open", "c=read"},
+            {"9000", "-5"}, {"9000", "0"}, {"9000", "NaN"}, {"9000", "1e3"}, {"9000", "999999999"}, {"d=9000,", ""},
+            {"units=1", "units=0"}, {"units=1", "units=-1"}, {"units=1", "units=1000000"}, {"units=1", "units="},
+            {"units=1", "units=1.2.3"}, {"units=1", "units=1,units=2"}, {"units=1", "units=Infinity"}, {",units=1", ""},
+            {"spread=1", "spread=0"}, {"spread=1", "spread=5"}, {"spread=1", "spread=0.5"}, {"first=0", "first=-1"},
+            {"first=0", "first=7"}, {"first=0", "first=x"}}) {
+            wrong.add(new String[] {"Q.ASK", KEY, "2", good.replace(swap[0], swap[1])});
+        }
         for (String[] words : wrong) {
             assertTrue(client.ask(words).startsWith("-ERR"), String.join(" ", words));
         }
         assertEquals("echo on", read("open", 9000, "on"));
+        assertEquals(1, around.ran.size(), "none of these reached a plan server: " + around.ran);
+    }
+
+    @Test
+    void theIdOfAnOpenQueryServesNoOtherUntilItIsAnswered() throws Exception {
+        try (Client other = new Client(client.socket.getPort())) {
+            client.command("Q.ASK", KEY, "7", list("read", "open", 9000), "slow 400");
+            Program.until("it is out", () -> !around.ran.isEmpty());
+            assertEquals("-ERR a request with this id is open", other.ask("Q.ASK", KEY, "7", list("read", "open", 9000), "x"));
+            assertEquals("echo slow 400", Peer.resp(client.in));
+            assertEquals("echo x", other.ask("Q.ASK", KEY, "7", list("read", "open", 9000), "x"));
+            client.command("Q.ASK", KEY, "8", list("read", "open", 9000), "slow 9000");
+            Program.until("the next is out", () -> around.ran.size() == 3);
+            client.close();
+            Program.until("the id of one who has gone serves again", () -> {
+                try {
+                    return other.ask("Q.ASK", KEY, "8", list("read", "open", 9000), "y").equals("echo y");
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+        }
     }
 
     /** Guards against clients that ask once and keep their link: they would fill the bound, and the newest be turned away. */
@@ -178,7 +214,7 @@
                 Client c = new Client(other.port("the platform"));
                 all.add(c);
                 if (i % 3 > 0) {
-                    assertEquals("echo x", c.ask("Q.ASK", "1", Integer.toHexString(i), list("read", "open", 9000), "x"));
+                    assertEquals("echo x", c.ask("Q.ASK", KEY, Integer.toHexString(i), list("read", "open", 9000), "x"));
                 }
             }
             assertNull(other.line("too many client links"));
@@ -193,7 +229,7 @@
     void aSilentLinkIsEndedAndHalfAMessageIsComplainedOf() throws Exception {
         try (Client silent = new Client(client.socket.getPort()); Client half = new Client(client.socket.getPort())) {
             half.write("*4\r\n$5\r\nQ.A");
-            client.command("Q.ASK", "1", "1", list("read", "open", 15_000), "slow 4000");
+            client.command("Q.ASK", KEY, "1", list("read", "open", 15_000), "slow 4000");
             client.write("*4\r\n$5\r\n");
             assertEquals(-1, silent.in.read());
             assertTrue(Peer.resp(half.in).startsWith("-ERR Protocol error"));
@@ -211,12 +247,12 @@
 
     @Test
     void atAPlannedEndAllThatWasTakenIsAnsweredAndNewClientsAreServed() throws Exception {
-        client.command("Q.DO", "1", "1", list("log", "open", 15_000), "slow 1500");
+        client.command("Q.DO", KEY, "1", list("log", "open", 15_000), "slow 1500");
         Program.until("it is out", () -> !around.ran.isEmpty());
         program.terminate();
         Program.until("the hand-over begins", () -> program.line("hand-over begins, 1 queries open") != null);
         try (Client late = new Client(client.socket.getPort())) {
-            assertEquals("echo late", late.ask("Q.ASK", "1", "9", list("read", "open", 9000), "late"));
+            assertEquals("echo late", late.ask("Q.ASK", KEY, "9", list("read", "open", 9000), "late"));
             assertEquals(-1, late.in.read(), "a link with nothing to do is ended");
         }
         assertEquals("echo slow 1500", Peer.resp(client.in));
@@ -227,7 +263,7 @@
 
     @Test
     void whatIsStillOutAtTheEndOfTheHandOverIsAnsweredUnserved() throws Exception {
-        client.command("Q.DO", "1", "1", list("log", "open", 19_000), "slow 30000");
+        client.command("Q.DO", KEY, "1", list("log", "open", 19_000), "slow 30000");
         Program.until("it is out", () -> !around.ran.isEmpty());
         program.terminate();
         assertEquals("-ERR failed", Peer.resp(client.in));
--- a/src/test/java/stonelb/Rehearsal.java
+++ b/src/test/java/stonelb/Rehearsal.java
@@ -21,7 +21,7 @@
             client.ask("PING");
             for (int i = 0; i < REQUESTS; i++) {
                 boolean log = i % 3 == 0;
-                client.ask(log ? "Q.DO" : "Q.ASK", "b4d65521", Integer.toHexString(i), "c=" + (log ? "log" : "read")
+                client.ask(log ? "Q.DO" : "Q.ASK", "00000000b4d65521", Integer.toHexString(i), "c=" + (log ? "log" : "read")
                         + ",t=" + (i % 2 == 0 ? "open" : "five") + ",d=9000,units=1,spread=1,first=0",
                         i % 20 == 7 ? "fail" : "x");
             }
--- a/src/test/java/stonelb/ReloadTest.java
+++ b/src/test/java/stonelb/ReloadTest.java
@@ -20,7 +20,7 @@
     /** A query of a customer that was never seen, so that the counter is called for it. */
     private void served(Client client) throws Exception {
         String n = Integer.toHexString(++asked);
-        assertEquals("echo x", client.ask("Q.ASK", n, n, "c=read,t=five,d=9000,units=1,spread=1,first=0", "x"));
+        assertEquals("echo x", client.ask("Q.ASK", "0".repeat(16 - n.length()) + n, n, "c=read,t=five,d=9000,units=1,spread=1,first=0", "x"));
     }
 
     private void replace(String config, Program program) throws Exception {
@@ -45,7 +45,7 @@
                 assertTrue(old.ran.size() == 2 && !old.added.isEmpty());
 
                 // Its link is at work while the plan server's address changes, and must not be used again.
-                client.command("Q.ASK", "1", "1", "c=read,t=five,d=9000,units=1,spread=1,first=0", "slow 1000");
+                client.command("Q.ASK", "0000000000000001", "slow", "c=read,t=five,d=9000,units=1,spread=1,first=0", "slow 1000");
                 replace(config.replace(old.discovery.address(), now.discovery.address())
                         .replace(old.counter.address(), now.counter.address()), program);
                 try (Client other = new Client(program.port("the platform"))) {
--- a/src/test/java/stonelb/ReplayTest.java
+++ b/src/test/java/stonelb/ReplayTest.java
@@ -39,7 +39,7 @@
 class ReplayTest {
     private static final int REQUESTS = 200;
     private static final String[] BODIES = {"a", "b", "c", "d", "fail", "away", "reset"};
-    private static final String[] CUSTOMERS = {"b4d65521", "1f", "77aa", "5"};   // the last one has no quota
+    private static final String[] CUSTOMERS = {"00000000b4d65521", "000000000000001f", "00000000000077aa", "0000000000000005"};   // the last one has no quota
 
     @TempDir
     Path folder;
--- a/src/test/java/stonelb/WatchTest.java
+++ b/src/test/java/stonelb/WatchTest.java
@@ -49,7 +49,7 @@
                         Client client = new Client(program.port("the platform"))) {
                     Program.until("it asks for the whole list again", () -> calls.stream()
                             .filter(c -> c.equals("/catalog/members")).count() >= 3);
-                    assertEquals("echo x", client.ask("Q.ASK", "1", "2", "c=read,t=open,d=9000,units=1,spread=1,first=0",
+                    assertEquals("echo x", client.ask("Q.ASK", "0000000000000001", "2", "c=read,t=open,d=9000,units=1,spread=1,first=0",
                             "x"));
                     answer = empty(0);
                     int before = calls.size();
