Counter: a spoilt or lost answer counts as added, costs its link at once, and is no silence

Checked: CounterLink.take and closed told the module TIMEOUT for every call out on a link that brought one spoilt answer; two in a row are a silent counter to Tally (gateways then spend shares of their own) and each triples the thrift. An endless total such as NaN went through as a number. Now: RESET for what may have been added, which Choice books as added and takes for neither silence nor a crowd; a call given up on while an answer is half sent ends its link, and the next call goes on a new one.

--- a/src/main/java/lichenbeam/Choice.java
+++ b/src/main/java/lichenbeam/Choice.java
@@ -18,8 +18,7 @@
     private static final double START_SLOTS = 3;      // mean slots a server at the start, over all gateways
     private static final double FLOOR_SLOTS = 4;      // and the least that strain may leave
     private static final double STRAINED = 0.35;      // of its aim: an answer this slow shows strain
-    private static final double STEP_MS = 250;        // n changes no more often, and on this many answers
-    private static final int STEP_ANSWERS = 4;
+    private static final double STEP_MS = 250, STEP_ANSWERS = 4; // n changes no more often, on as many
     private static final double WINDOWS = 10;         // a counter name lasts this many times burst / rate,
     private static final double MIN_WINDOW_MS = 20_000, MAX_WINDOW_MS = 50_000;   // within these bounds
     private static final double KEEP_MS = 60_000;     // and is kept for longer
@@ -452,7 +451,9 @@
         }
 
         void answered(double now, Outcome how, double tookMs) {
-            boolean crowded = how != Outcome.OK || tookMs > 0.75 * set.counter().waitMs();
+            // Danger: an answer spoilt or lost with its connection (a reset) is neither silence nor a crowd.
+            boolean crowded = how != Outcome.RESET
+                    && (how != Outcome.OK || tookMs > 0.75 * set.counter().waitMs());
             thrift = Math.max(1, Math.min(silent() ? 3 : MAX_THRIFT, thrift * (crowded ? 3 : 0.92)));
             if (how == Outcome.TIMEOUT || how == Outcome.CONNECT_FAILED) {
                 silentAt = timeouts++ == 0 ? now : silentAt;
@@ -675,8 +676,8 @@
             double mine = pending;
             calling = false;
             refresh(now);
-            if (how == Outcome.TIMEOUT) {
-                held += mine; // as added: a crowded counter still works on it
+            if (how == Outcome.TIMEOUT || how == Outcome.RESET) {
+                held += mine; // as added: a crowded counter still works on it, and a spoilt answer came of it
                 others = plan.maxOut();
             } else if (how == Outcome.OK && called == name && posts()) {
                 posted += mine;
--- a/src/main/java/stonelb/counter/CounterCall.java
+++ b/src/main/java/stonelb/counter/CounterCall.java
@@ -11,7 +11,7 @@
     private final double keepMs;
     private final double startedAt;
     private boolean reported;
-    private boolean written;
+    private CounterLink link;   // that it was written to, or null
 
     CounterCall(CounterCalls owner, long name, double amount, double keepMs, double startedAt) {
         this.owner = owner;
@@ -33,12 +33,8 @@
         return reported;
     }
 
-    boolean written() {
-        return written;
-    }
-
-    void sent() {
-        written = true;
+    void sent(CounterLink on) {
+        link = on;
     }
 
     String path() {
@@ -66,6 +62,8 @@
     /** Given up: it may have been added if it went out, and never was if it did not. */
     @Override
     public void due(double now, long token) {
-        report(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0);
+        if (!reported) {
+            report(link == null ? Outcome.CONNECT_FAILED : link.givenUp(), 0);
+        }
     }
 }
--- a/src/main/java/stonelb/counter/CounterLink.java
+++ b/src/main/java/stonelb/counter/CounterLink.java
@@ -84,7 +84,7 @@
         ByteBuf bytes = buffer(160);
         bytes.writeCharSequence("POST " + call.path() + " HTTP/1.1\r\nHost: " + at.getHostString() + ":"
                 + at.getPort() + "\r\nContent-Length: 0\r\n\r\n", StandardCharsets.US_ASCII);
-        call.sent();
+        call.sent(this);
         out.add(call);
         send(bytes);
     }
@@ -112,7 +112,7 @@
             usedAt = owner.now();
             take(call, m);
             if (!m.keepsAlive()) {
-                close();
+                end();
                 return;
             }
         }
@@ -122,9 +122,13 @@
     private void take(CounterCall call, HttpMessage m) throws Malformed {
         if (m.status() == 200) {
             try {
-                call.report(Outcome.OK, Double.parseDouble(new String(m.body(), StandardCharsets.US_ASCII).strip()));
+                double total = Double.parseDouble(new String(m.body(), StandardCharsets.US_ASCII).strip());
+                if (!Double.isFinite(total)) {   // would spoil all that is reckoned with it from then on
+                    throw new NumberFormatException();
+                }
+                call.report(Outcome.OK, total);
             } catch (NumberFormatException e) {
-                call.report(Outcome.TIMEOUT, 0);   // it was added, and its total is not known
+                call.report(Outcome.RESET, 0);   // it was added, and its total is not known
                 throw new Malformed("a total is not a number");
             }
         } else {
@@ -138,14 +142,32 @@
     @Override
     protected void malformed(String why) {
         log.warn("counter sent malformed input", why);
+        end();
+    }
+
+    /** The next call goes elsewhere at once, though the end is told only later. */
+    private void end() {
+        ended = true;
         close();
     }
 
+    /**
+     * A call is given up on. Guards against an answer that has begun and never ends, behind which every further
+     * call would look like one to a silent counter; a link with no answer begun may lead to a slow one.
+     */
+    Outcome givenUp() {
+        if (!parser.within()) {
+            return Outcome.TIMEOUT;
+        }
+        malformed("an answer stays half sent");
+        return Outcome.RESET;
+    }
+
     @Override
     protected void closed() {
         ended = true;
         for (CounterCall call = out.poll(); call != null; call = out.poll()) {
-            call.report(Outcome.TIMEOUT, 0);
+            call.report(Outcome.RESET, 0);   // it may have been added
         }
         for (CounterCall call = unsent.poll(); call != null; call = unsent.poll()) {
             call.report(Outcome.CONNECT_FAILED, 0);
@@ -157,8 +179,7 @@
         CounterCall oldest = out.peek();
         if (isOpen() && (oldest != null && now - oldest.startedAt() > SILENT_MS
                 || oldest == null && now - usedAt > IDLE_MS)) {
-            ended = true;
-            close();
+            end();
         }
     }
 }
--- a/src/test/java/lichenbeam/LeaseTest.java
+++ b/src/test/java/lichenbeam/LeaseTest.java
@@ -97,6 +97,29 @@
         assertTrue(s.lastAmount() > 10, "a block stands for the tries that did not ask");
     }
 
+    /** Guards against spoilt answers and broken connections that would look like a counter in a crowd, or silent. */
+    @Test
+    void aLostAnswerCountsAsAddedAndAsNeitherSilenceNorACrowd() {
+        Script s = sparse();
+        for (int i = 0; i < 6; i++) {
+            s.request(2, 100 + i, 50);
+            s.counted(Outcome.RESET);
+        }
+        long asked = s.count("add");
+        for (int i = 0; i < 20; i++) {
+            s.request(2, 200 + i, 50);
+            s.counted(0);
+        }
+        assertTrue(s.count("add") - asked >= 20, s.count("add") - asked + " of 20");
+        Script one = script(0.001, 10);
+        one.request(1);
+        double added = one.lastAmount();
+        one.counted(Outcome.RESET);
+        long before = one.count("add");
+        one.request(1);
+        assertTrue(added > 1 && one.count("add") == before, "the block is held as added");
+    }
+
     @Test
     void whatTheStoreCannotHoldExpiresOnTheCounter() {
         Script s = sparse();
--- a/src/test/java/stonelb/counter/CounterTest.java
+++ b/src/test/java/stonelb/counter/CounterTest.java
@@ -66,7 +66,11 @@
     }
 
     private void answer(int status, String body) throws Exception {
-        socket.getOutputStream().write(("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+        answer(status, body, "");
+    }
+
+    private void answer(int status, String body, String more) throws Exception {
+        socket.getOutputStream().write(("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.length() + "\r\n\r\n" + body + more)
                 .getBytes(StandardCharsets.US_ASCII));
     }
 
@@ -84,6 +88,27 @@
         assertNull(told.poll(), "the late answer is told to nobody");
     }
 
+    /** Guards against all further calls that would wait behind an answer without an end, as if nobody answered. */
+    @Test
+    void anAnswerThatNeverEndsCostsItsLinkAndNoFurtherCall() throws Exception {
+        for (String begun : new String[] {"HTTP/1.1 200 X\r\nContent-Length: 40\r\n\r\n1", "noise without an end"}) {
+            for (int i = 0; i < 3; i++) {
+                add(5);
+                call();
+            }
+            answer(200, "5", begun);   // in one piece: once the first answer is told, the second has begun
+            assertEquals("8 OK 5.0", next());
+            clock += 60;
+            assertEquals("8 RESET 0.0", next());
+            assertEquals("8 RESET 0.0", next());
+            socket = null;
+            add(1);
+            call();
+            answer(200, "6");
+            assertEquals("8 OK 6.0", next());
+        }
+    }
+
     @Test
     void whatEveryEndOfACallProves() throws Exception {
         add(1);
@@ -93,7 +118,15 @@
         add(2);
         call();
         socket.close();
-        assertEquals("8 TIMEOUT 0.0", next(), "it may have been added");
+        assertEquals("8 RESET 0.0", next(), "it may have been added");
+        for (String spoilt : new String[] {"", "none", "NaN", "Infinity", "1 2"}) {
+            socket = null;
+            add(2);
+            call();
+            answer(200, spoilt);
+            assertEquals("8 RESET 0.0", next(), "it was added, and nobody knows the total: " + spoilt);
+            assertEquals(-1, socket.getInputStream().read(), "the connection is of no further use");
+        }
         listener.close();
         add(3);
         assertEquals("8 CONNECT_FAILED 0.0", next(), "nothing was added");
