Play made-up queries before listening; let links rest 10 ms; wider opening; maps that shrink

A link rests 10 ms now. - A new customer under a ceiling began with one unit at a gateway (Choice.opening): a quick second request was throttled with the quota unused. A quarter of the gateway's part now; what is reserved for restarts grows alike, so all gateways together stay under the ceiling as before. - Choice.Fleet.all, Core.phases and HostGroup.ids kept every plan server ever named, and each choice walked them all.

--- a/src/main/java/lichenbeam/Choice.java
+++ b/src/main/java/lichenbeam/Choice.java
@@ -29,8 +29,7 @@
     private static final double MIN_FRESH_MS = 500, MAX_FRESH_MS = 5000;  // a total tells for so long
     private static final double MAX_THRIFT = 30;      // tries' worth in a block, one while nothing is crowded
     private static final int SILENT_CALLS = 2;        // unanswered in a row: the counter is silent
-    private static final double SILENT_MS = 500;      // between reads of a silent counter
-    private static final double EMPTIED_MS = 2000;    // a silence this long may have emptied it
+    private static final double SILENT_MS = 500, EMPTIED_MS = 2000; // between its reads; may have emptied it
     private static final double SHARE_TRIES = 1;      // depth of a share spent without the counter, in tries
     private static final double FORGET_MS = 60_000;   // a customer unseen for this long
     private static final double TRUST = 8;            // samples that weigh as much as the fleet's own mean
@@ -39,8 +38,8 @@
     private static final double TRIALS = 0.05;        // of such requests sent on: does it still hold?
     private static final double START_TIME = 0.2;     // of its aim: what a unit takes while nothing is known
     private static final double FEW = 4;              // units answered that tell too little to refuse by
-    private static final long TICK = 1;               // timer tokens; a request's is its id << 3
     private static final double EPS = 1e-3;
+    private static final long TICK = 1;               // timer tokens; a request's is its id << 3
 
     private final Settings set;
     private final int gateways;
@@ -511,7 +510,8 @@
 
         /** Rule 5. Danger: a restarted gateway handing itself a second burst: this much stays free for it. */
         private double opening() {
-            return Math.min(plan.ceilingBurst() / (2 * width), set.largestUnits());
+            double part = plan.ceilingBurst() / width;
+            return Math.min(part / 2, Math.max(part / 4, set.largestUnits()));
         }
 
         /** 0 where the try may pass, below 0 where it waits for the counter, else how long to stay away. */
@@ -945,8 +945,8 @@
         }
 
         void tick(double now) {
-            double sum = 0;
-            int warm = 0;
+            double sum = 0, warm = 0;
+            all.values().removeIf(s -> s.phase == Phase.GONE && s.out == 0); // danger: months of them
             for (Srv s : all.values()) {
                 s.rate *= 1 - TICK_MS / PERIOD_MS;
                 if (s.phase == Phase.READY && now >= s.coldUntil) {
--- a/src/main/java/stonelb/Server.java
+++ b/src/main/java/stonelb/Server.java
@@ -83,6 +83,7 @@
     }
 
     private void wire(int part) throws Configuration.Invalid {
+        WarmUp.play(config, loop, log);
         ServerLinks links = new ServerLinks(loop, log, config.connectTimeoutMs(), config.connIdleMs(), part,
                 openApi == null ? 0 : openApi.serverPort());
         counter = new CounterCalls(loop, log, config.counter(), config.settings().counter().waitMs());
--- a/src/main/java/stonelb/core/Core.java
+++ b/src/main/java/stonelb/core/Core.java
@@ -85,7 +85,11 @@
             phases.clear();
         }
         for (Server s : list) {
-            phases.put(s.id(), s.phase());
+            if (s.phase() == Phase.GONE) {
+                phases.remove(s.id());
+            } else {
+                phases.put(s.id(), s.phase());
+            }
         }
         enter(() -> gateway.servers(now(), mode, list));
     }
--- a/src/main/java/stonelb/discovery/HostGroup.java
+++ b/src/main/java/stonelb/discovery/HostGroup.java
@@ -23,7 +23,8 @@
     private final List<String> zones;
     private final Core core;
     private final ServerLinks links;
-    private final Map<String, Long> ids = new HashMap<>();
+    private final Map<String, Long> ids = new HashMap<>();   // of those that have not gone
+    private long lastId;
 
     public HostGroup(List<String> zones, Core core, ServerLinks links) {
         this.zones = zones;
@@ -82,7 +83,7 @@
             };
             String name = text(o, "name");
             double since = Json.number(o, "since_ms", 0);
-            long id = ids.computeIfAbsent(name, k -> (long) ids.size() + 1);
+            long id = ids.computeIfAbsent(name, k -> ++lastId);
             if (phase != Phase.GONE || o.has("address")) {
                 InetSocketAddress address = address(o);
                 places.add(() -> links.host(id, name, address, phase == Phase.READY, since));
@@ -94,7 +95,10 @@
         long version = (long) Json.number(list, "index", -1);
         // Nothing is taken of a list that does not read whole.
         places.forEach(Runnable::run);
+        // Guards against names that pile up: one that comes back is a new process, under a new number.
+        ids.values().removeAll(servers.stream().filter(s -> s.phase() == Phase.GONE).map(Server::id).toList());
         if (mode != ListMode.DELTA) {
+            ids.values().retainAll(servers.stream().map(Server::id).collect(Collectors.toSet()));
             links.only(servers.stream().map(Server::id).collect(Collectors.toSet()));
         }
         if (!servers.isEmpty() || mode != ListMode.DELTA) {
--- a/src/main/java/stonelb/front/Front.java
+++ b/src/main/java/stonelb/front/Front.java
@@ -22,6 +22,8 @@
     private static final double YOUNG_MS = 250;         // one that has said nothing yet may still be on its way
     private static final long MOST_BYTES = 12L << 20;   // of requests held, of the 48 MB heap
 
+    private static final long MOST_UNREAD = 8L << 20;   // of messages that are not whole
+
     private final Loop loop;
     private final Log log;
     private final Core core;
@@ -33,6 +35,7 @@
     private final Set<FrontLink> ending = new LinkedHashSet<>();
     private Channel listener;
     private long bytes;
+    private long unread;
 
     protected Front(Loop loop, Log log, Core core, int mostOpen, int mostLinks) {
         this.loop = loop;
@@ -125,6 +128,12 @@
         }
     }
 
+    /** Guards the heap against many links with large messages half sent; false where it is too much. */
+    final boolean holds(int more) {
+        unread += more;
+        return unread <= MOST_UNREAD;
+    }
+
     final boolean admits(FrontQuery query) {
         return core.open() < mostOpen && bytes + query.size() <= MOST_BYTES;
     }
--- a/src/main/java/stonelb/front/FrontLink.java
+++ b/src/main/java/stonelb/front/FrontLink.java
@@ -34,6 +34,7 @@
     private boolean last;   // nothing more is read: it closes after its answers
     private double restsSince;     // of being up, or of the last answer
     private double partSince = -1; // a message has begun and is not whole, or below 0
+    private int unread;            // bytes that the front counts as held for it
 
     protected FrontLink(Front front, Log log) {
         super(MOST_BYTES, log);
@@ -50,6 +51,9 @@
     /** Whether a message has begun and is not whole. */
     protected abstract boolean within();
 
+    /** Bytes of that message that are off the input buffer. */
+    protected abstract int held();
+
     /** Says on the wire what was wrong with the input. */
     protected abstract Slot complaint(String why);
 
@@ -68,6 +72,11 @@
         if (last) {
             in.skip(in.size());   // what comes after the end can't be told apart
         }
+        int before = unread;
+        unread = last ? 0 : in.capacity() + held();
+        if (!front.holds(unread - before) && partSince >= 0) {
+            throw new Malformed("too many bytes of messages wait on all links");
+        }
         flow();
     }
 
@@ -174,6 +183,7 @@
         log.warn("client sent malformed input", why);
         if (!last) {
             last = true;
+            in.skip(in.size());
             answer(complaint(why));
         }
     }
@@ -195,6 +205,8 @@
     @Override
     protected final void closed() {
         front.closed(this);
+        front.holds(-unread);
+        unread = 0;
         for (Slot slot : order) {
             if (slot instanceof FrontQuery query && !query.done()) {
                 front.withdraw(query);
--- a/src/main/java/stonelb/http/HttpParser.java
+++ b/src/main/java/stonelb/http/HttpParser.java
@@ -44,6 +44,11 @@
         return state != State.START || scanned > 0;
     }
 
+    /** Bytes of the body begun that are off the buffer. */
+    public int held() {
+        return body == null ? 0 : body.size();
+    }
+
     /** Whether the head of the message is read and its body is awaited. */
     public boolean awaitsBody() {
         return state.ordinal() >= State.BODY.ordinal();
--- a/src/main/java/stonelb/io/Buffer.java
+++ b/src/main/java/stonelb/io/Buffer.java
@@ -20,6 +20,11 @@
         return to - from;
     }
 
+    /** The memory that it takes. */
+    public int capacity() {
+        return bytes.length;
+    }
+
     public byte at(int index) {
         return bytes[from + index];
     }
--- a/src/main/java/stonelb/openapi/HttpClientLink.java
+++ b/src/main/java/stonelb/openapi/HttpClientLink.java
@@ -154,6 +154,11 @@
         return parser.within();
     }
 
+    @Override
+    protected int held() {
+        return parser.held();
+    }
+
     @Override
     protected Slot complaint(String why) {
         return new HttpAnswer(this, false, 400, why, Map.of());
--- a/src/main/java/stonelb/platform/ClientLink.java
+++ b/src/main/java/stonelb/platform/ClientLink.java
@@ -79,6 +79,11 @@
         return parser.within();
     }
 
+    @Override
+    protected int held() {
+        return parser.held();
+    }
+
     @Override
     protected Slot complaint(String why) {
         return new Line("-ERR Protocol error: " + why);
--- a/src/main/java/stonelb/platform/PlatformFront.java
+++ b/src/main/java/stonelb/platform/PlatformFront.java
@@ -25,7 +25,7 @@
     }
 
     @Override
-    protected FrontLink accept(Log log) {
+    public FrontLink accept(Log log) {
         return new ClientLink(this, log);
     }
 
--- a/src/main/java/stonelb/resp/RespParser.java
+++ b/src/main/java/stonelb/resp/RespParser.java
@@ -42,6 +42,11 @@
         return !open.isEmpty() || bulk >= 0 || scanned > 0;
     }
 
+    /** Bytes of the value begun that are off the buffer. */
+    public int held() {
+        return held;
+    }
+
     /** The next whole value, taken off the buffer, or {@link #MORE}. */
     public Object next(Buffer in) throws Malformed {
         while (true) {
--- a/src/main/java/stonelb/server/Pool.java
+++ b/src/main/java/stonelb/server/Pool.java
@@ -112,6 +112,10 @@
         }
     }
 
+    void after(double ms, ServerLink link) {
+        owner.after(ms, link);
+    }
+
     void up(ServerLink link) {
         connecting--;
         free(link);
--- a/src/main/java/stonelb/server/ServerLink.java
+++ b/src/main/java/stonelb/server/ServerLink.java
@@ -6,13 +6,16 @@
 import lichenbeam.Gateway.Outcome;
 import stonelb.core.Attempt;
 import stonelb.core.Reply;
+import stonelb.core.Timers;
 import stonelb.io.Connection;
 import stonelb.io.Log;
 import stonelb.io.Malformed;
 
 /** One connection to a plan server. It carries one attempt at a time: none waits behind a slow one. */
-abstract class ServerLink extends Connection implements ChannelFutureListener {
+abstract class ServerLink extends Connection implements ChannelFutureListener, Timers.Due {
     private static final int MOST_BYTES = 256 * 1024;
+    /** After an answer. What comes right behind it, more bytes or an end, has come by then. */
+    private static final double REST_MS = 10;
 
     private final Pool pool;
     private final int process;
@@ -81,11 +84,19 @@
             close();
         } else if (isOpen()) {
             idleSince = pool.now();
-            pool.free(this);
+            pool.after(REST_MS, this);
         }
         pool.ended(a, how, reply);
     }
 
+    /** It has rested, and nothing came. Guards against surplus that would be taken for the next answer. */
+    @Override
+    public final void due(double now, long token) {
+        if (isOpen()) {
+            pool.free(this);
+        }
+    }
+
     @Override
     protected final void opened() {
         idleSince = pool.now();
--- a/src/main/java/stonelb/server/ServerLinks.java
+++ b/src/main/java/stonelb/server/ServerLinks.java
@@ -129,6 +129,10 @@
         return loop.now();
     }
 
+    void after(double ms, Timers.Due due) {
+        loop.timers().after(ms, due, 0);
+    }
+
     Log log() {
         return log;
     }
