Hand-over: serve clients on the links they have for 2.9 s after SIGTERM in place of 0.5 s

Checked with logs: each gateway ended 0.74 s after SIGTERM and served again 6.1 s after it, of which the start took 2 s; two of four were away at any time. At fault: Server.handOver, which ended all links 0.5 s after SIGTERM, though clients go on using those they have and the program is killed no sooner than 3.7 s after it. Now links end 0.1 s before the longest deadline (3 s at most) is over, what is out is answered unserved 0.25 s after it. The rest of the gap is the time from the end to the next start, and is open.

--- a/src/main/java/stonelb/Server.java
+++ b/src/main/java/stonelb/Server.java
@@ -22,8 +22,8 @@
 
 /** Wires the parts of a gateway together, starts them, and hands over at a planned restart. */
 final class Server {
-    private static final double ACCEPT_MS = 500;    // after SIGTERM: clients still come for up to 400 ms
-    private static final double LONGEST_MS = 3000;  // and no deadline counts for longer
+    private static final double LONGEST_MS = 3000;  // after SIGTERM: no deadline counts for longer
+    private static final double LEAVE_MS = 100;     // before that: clients go on using the links they have until then
     private static final double ANSWER_MS = 250;    // over that: all is answered by then, well before SIGKILL
     private static final double STEP_MS = 20;
     private static final int SPARE_SOCKETS = 48;    // of files, discovery, the counter and the loop
@@ -120,12 +120,15 @@
         });
     }
 
-    /** SIGTERM: goes on serving while clients are led elsewhere, answers all it has taken, then ends. */
+    /**
+     * SIGTERM: goes on serving on the links that there are, since clients led elsewhere at once would find the others
+     * full; then ends the links, answers all it has taken, and ends itself before it is killed.
+     */
     void handOver() {
         loop.execute(() -> {
             log.say("hand-over begins, " + core.open() + " queries open");
             double began = loop.now();
-            loop.timers().after(ACCEPT_MS, (now, token) -> {
+            loop.timers().after(longestMs() - LEAVE_MS, (now, token) -> {
                 fronts.forEach(Front::stopListening);
                 leave(began);
             }, 0);
@@ -137,9 +140,14 @@
         }
     }
 
+    /** How long the longest query may still be out. */
+    private double longestMs() {
+        return Math.min(LONGEST_MS, config.deadlinesMs().stream().mapToDouble(d -> d).max().orElse(LONGEST_MS));
+    }
+
     private void leave(double began) {
         fronts.forEach(Front::finish);
-        if (!answered && loop.now() - began > LONGEST_MS + ANSWER_MS) {
+        if (!answered && loop.now() - began > longestMs() + ANSWER_MS) {
             answered = true;
             log.say("hand-over: " + core.open() + " queries are answered unserved");
             core.finishAll();
--- a/src/test/java/stonelb/PlatformTest.java
+++ b/src/test/java/stonelb/PlatformTest.java
@@ -310,6 +310,18 @@
         assertTrue(program.line("hand-over done") != null);
     }
 
+    /** Guards against links that end early in a hand-over: their clients would crowd the other gateways meanwhile. */
+    @Test
+    void aClientIsServedOnItsLinkForMostOfTheHandOver() throws Exception {
+        program.terminate();
+        for (int i = 0; i < 10; i++) {
+            Thread.sleep(100);
+            assertEquals("echo " + i, read("open", 9000, "" + i));
+        }
+        assertEquals(-1, client.in.read());
+        assertTrue(program.ended(20_000));
+    }
+
     @Test
     void whatIsStillOutAtTheEndOfTheHandOverIsAnsweredUnserved() throws Exception {
         client.command("Q.DO", KEY, "1", list("log", "open", 19_000), "slow 30000");
