--- a/src/main/java/stonelb/server/ServerLink.java
+++ b/src/main/java/stonelb/server/ServerLink.java
@@ -121,6 +121,7 @@
     @Override
     protected final void malformed(String why) {
         log.warn("plan server sent malformed input", pool.name() + ", " + why);
+        idledMs = -1;   // its input ends it, not its age
         close();   // what was out ends as a reset, in closed()
     }
 
--- a/src/main/java/stonelb/server/ServerLinks.java
+++ b/src/main/java/stonelb/server/ServerLinks.java
@@ -19,6 +19,7 @@
     private static final double SWEEP_MS = 1000;   // or a tenth of the idle time, if that is less
     private static final double RETIRE = 0.8;   // of the time after which a plan server closes an idle link
 
+    private static final double KEEP_MS = 2000;          // links too old to be sure of, for reads
     private static final double LEAST_TRUST_MS = 5;      // under the time that a link rests: none is used again
     private static final double TRUST_DOUBLES_MS = 2000;
 
@@ -115,7 +116,7 @@
         for (Host h : hosts.values()) {
             for (Pool pool : h.pools) {
                 if (pool != null) {
-                    pool.closeIdle(h.leaving ? Double.MAX_VALUE : now - RETIRE * idleMs);
+                    pool.closeIdle(h.leaving ? Double.MAX_VALUE : now - Math.min(RETIRE * idleMs, Math.max(KEEP_MS, trustMs())));
                 }
             }
         }
