Watch discovery from the version held with back-off; leases pass under divided ceilings

Checked: counts of each gateway by cause of refusal and by outcome, per second.

Causes: Watch asked for the whole list after each failure (index = -1 on any status) every 100 ms, and gave up a call after 1 s that discovery still worked on; Choice.Customer.admit held every try against a ceiling divided by the gateways of the customer's set, also one that the counter had leased inside the quota.

Changed: the watch begins and goes on from the version held, keeps it on 5xx, and pauses with full jitter from a span that doubles up to 0.5 s for each gateway, so that the fleet asks a few times a second however large it is. Under a ceiling, what is leased passes; only what the ceiling has above the quota is divided. A try that neither covers waits for the counter.

--- a/core/src/main/java/stonelb/discovery/Discovery.java
+++ b/core/src/main/java/stonelb/discovery/Discovery.java
@@ -1,6 +1,7 @@
 package stonelb.discovery;
 
 import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
 import stonelb.io.Log;
 import stonelb.io.Loop;
 
@@ -12,17 +13,22 @@
     private final Loop loop;
     private final Log log;
     private final HostGroup group;
+    private final int gateways;
+    private final SplittableRandom random;
     private Watch watch;
     private Watch next;   // at the new address, without a list yet; or null
 
-    public Discovery(Loop loop, Log log, HostGroup group) {
+    /** {@code gateways} may ask it as well; {@code seed} sets their pauses apart. */
+    public Discovery(Loop loop, Log log, HostGroup group, int gateways, long seed) {
         this.loop = loop;
         this.log = log;
         this.group = group;
+        this.gateways = gateways;
+        random = new SplittableRandom(seed);
     }
 
     public void begin(InetSocketAddress at) {
-        watch = new Watch(loop, log, at, group, () -> { });
+        watch = new Watch(loop, log, at, group, group.version(), gateways, random, () -> { });
         watch.begin();
     }
 
@@ -33,7 +39,7 @@
             next = null;
         }
         if (!to.equals(watch.at())) {
-            next = new Watch(loop, log, to, group, this::moved);
+            next = new Watch(loop, log, to, group, -1, gateways, random, this::moved);
             next.begin();
         }
     }
--- a/core/src/main/java/stonelb/discovery/HostGroup.java
+++ b/core/src/main/java/stonelb/discovery/HostGroup.java
@@ -39,6 +39,7 @@
     private final Places places;
     private final Map<String, Long> ids = new HashMap<>();   // of those that have not gone
     private long lastId;
+    private long version = -1;
 
     public HostGroup(List<String> zones, Members members, Places places) {
         this.zones = zones;
@@ -55,6 +56,11 @@
         return ids.isEmpty();
     }
 
+    /** Of the list held; -1 while there is none. */
+    public long version() {
+        return version;
+    }
+
     /** Takes an answer of discovery and gives its version. */
     long take(byte[] body) throws Malformed {
         JsonObject list = parsed(body);
@@ -106,7 +112,7 @@
             servers.add(new Server(id, phase, since, Json.number(o, "weight", 1),
                     (int) Json.number(o, "group", 0), zone));
         }
-        long version = (long) Json.number(list, "index", -1);
+        version = (long) Json.number(list, "index", -1);
         // Nothing is taken of a list that does not read whole.
         moves.forEach(Runnable::run);
         // Guards against names that pile up: one that comes back is a new process, under a new number.
--- a/core/src/main/java/stonelb/discovery/Watch.java
+++ b/core/src/main/java/stonelb/discovery/Watch.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
 import stonelb.core.Timers;
 import stonelb.http.HttpMessage;
 import stonelb.http.HttpParser;
@@ -11,13 +12,18 @@
 import stonelb.io.Loop;
 import stonelb.io.Malformed;
 
-/** The watch on discovery at one address: one call after the other, until it is told to stop. */
+/**
+ * The watch on discovery at one address: one call after the other, until it is told to stop. It goes on from the
+ * version held, so that only changes are sent, and stays away for longer after each failure. Danger: gateways that
+ * start together, or fail together, ask together; a discovery that can't keep up then fails them all for good.
+ */
 public final class Watch implements Timers.Due {
     private static final int WAIT_MS = 5000;
     private static final int SPARE_MS = 1500;     // beyond the wait: discovery is silent
-    private static final int FIRST_MS = 1000;     // for the whole list, which comes at once
+    private static final int FIRST_MS = 3000;     // for the whole list, which waits its turn where many ask
     private static final int CONNECT_MS = 250;
-    private static final int AGAIN_MS = 100;      // under the 200 ms that keep a watch going
+    private static final int AGAIN_MS = 100;      // under the 200 ms that keep a watch going; the first pause
+    private static final int SHARE_MS = 500;      // the longest pause, for each gateway that may ask as well
     private static final int MOST_BYTES = 1 << 20;
 
     private final Loop loop;
@@ -25,17 +31,27 @@
     private final InetSocketAddress at;
     private final HostGroup group;
     private final Runnable onList;
+    private final SplittableRandom random;
+    private final int gateways;
     private Call call;
-    private long index = -1;   // the version held; -1: the next call asks for the whole list
+    private long index;   // the version held; -1: the next call asks for the whole list
+    private int failures;   // in a row
     private boolean stopped;
     private long turn;   // of the call or pause under way; timers of earlier ones are passed over
 
-    /** {@code onList} is told of every answer taken; by the first one, this watch has the whole list. */
-    Watch(Loop loop, Log log, InetSocketAddress at, HostGroup group, Runnable onList) {
+    /**
+     * {@code held} is the version that the group has, -1 for none; {@code onList} is told of every answer taken; by
+     * the first one, this watch has brought the group up to date.
+     */
+    Watch(Loop loop, Log log, InetSocketAddress at, HostGroup group, long held, int gateways, SplittableRandom random,
+            Runnable onList) {
         this.loop = loop;
         this.log = log;
         this.at = at;
         this.group = group;
+        index = held;
+        this.gateways = gateways;
+        this.random = random;
         this.onList = onList;
     }
 
@@ -58,6 +74,7 @@
 
     private void take(HttpMessage m) throws Malformed {
         index = group.take(m.body());
+        failures = 0;
         onList.run();
     }
 
@@ -76,10 +93,23 @@
             log.warn("discovery lost", at.getHostString() + ":" + at.getPort() + ", " + why + "; the last list serves on");
             which.close();
             call = null;
-            loop.timers().after(AGAIN_MS, this, ++turn);
+            loop.timers().after(pauseMs(failures++, gateways, random), this, ++turn);
         }
     }
 
+    /**
+     * How long to stay away after so many failures before this one. The first is short, since a link that ends between
+     * two calls is no news of discovery; then the pause is drawn from a span that doubles, up to one at which all
+     * gateways together ask a few times a second, however many they are.
+     */
+    static double pauseMs(int failures, int gateways, SplittableRandom random) {
+        if (failures == 0) {
+            return AGAIN_MS * random.nextDouble();
+        }
+        return Math.min(AGAIN_MS * Math.pow(2, Math.min(failures, 30)), Math.max(2 * AGAIN_MS, SHARE_MS * gateways))
+                * random.nextDouble();
+    }
+
     @Override
     public void due(double now, long token) {
         if (token != turn) {
@@ -124,7 +154,9 @@
             HttpMessage m = parser.next(in);
             if (m != null && this == call) {
                 if (m.status() != 200) {
-                    index = -1;   // it may know our version no more, and would say so for ever
+                    // It may know our version no more, and would say so for ever; but 5xx says that it can't keep up,
+                    // and the whole list is what costs it most.
+                    index = m.status() / 100 == 5 ? index : -1;
                     lost(this, "it answered " + m.status());
                     return;
                 }
--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -480,6 +480,7 @@
         final long key;
         final int width;
         final double quotaBurst, phase;
+        final boolean guarded;        // what the counter leases is inside the ceiling too
         final List<Req> waiting = new ArrayList<>();  // tries held until the call out is answered
         double echoUntil;
         int out, peak, others;        // attempts open, here lately and at the others
@@ -503,6 +504,8 @@
             phase = Math.floorMod(mix(key), 1L << 20);
             tries = units(r);
             refreshedAt = now;
+            guarded = set.counter().present() && plan.rate() > 0 && plan.overWorth() <= plan.overCost()
+                    && plan.ceilingRate() > plan.rate() && plan.ceilingBurst() > plan.burst();
             ceiling = opening();
             share = shareDepth();
         }
@@ -517,19 +520,33 @@
             return plan.rate() > 0 ? plan.rate() : 1000 * keep / Math.max(set.stepMs(), slots.meanMs);
         }
 
+        /**
+         * This gateway's part of the ceiling. A lease keeps to the quota at whichever gateway it is, so only
+         * what lies above the quota, and above blocks held unspent, is divided. Danger: the whole of it
+         * divided turns away at the busy gateways what the quota has room for.
+         */
+        private double part() {
+            return Math.max(0, plan.ceilingBurst() - (guarded ? 1.5 * plan.burst() : 0)) / width;
+        }
+
+        private boolean leased(double units) {
+            return guarded && held >= units - EPS;
+        }
+
         /** Rule 5. Danger: a restarted gateway handing itself a second burst: this much stays free for it. */
         private double opening() {
-            double part = plan.ceilingBurst() / width;
+            double part = part();
             return Math.min(part / 2, Math.max(part / 4, set.largestUnits()));
         }
 
         /** 0 where the try may pass, below 0 where it waits for the counter, else how long to stay away. */
         double admit(double now, Request r, boolean mayAsk) {
             refresh(now);
-            if (plan.ceilingRate() > 0 && ceiling < r.units() + EPS) {
+            double units = units(r);
+            boolean capped = plan.ceilingRate() > 0 && !leased(units) && ceiling < r.units() + EPS;
+            if (capped && !guarded) {
                 return (r.units() - ceiling) * width / plan.ceilingRate() * 1000;
             }
-            double units = units(r);
             if (quotaBurst <= 0 || plan.overWorth() > plan.overCost() || !posts() && held >= units - EPS) {
                 return 0;
             }
@@ -541,7 +558,7 @@
             if (posts()) {
                 return 0;
             }
-            double alone = share >= Math.min(units, shareDepth()) - EPS ? 0 : away;
+            double alone = !capped && share >= Math.min(units, shareDepth()) - EPS ? 0 : away;
             if (tally.silent() || !set.counter().present()) {
                 ask(now, units); // danger: a silence that nobody sees the end of
                 return alone;
@@ -549,23 +566,22 @@
             if (now - storeAt > freshMs()) {
                 // Nothing is known of it now. Its part of the burst passes; else chance lets the few calls
                 // that the counter can take speak for all: a block stands for the tries that passed unasked.
-                if (held + quotaBurst / width >= units) {
+                if (!capped && held + quotaBurst / width >= units) {
                     return 0;
                 }
                 return mayAsk && (calling || ask(now, units - held)) ? -1 : alone;
             }
             double room = room(now);
-            if (held + room * Math.max(1.0 / width, room / quotaBurst) >= units - EPS) {
+            if (!capped && held + room * Math.max(1.0 / width, room / quotaBurst) >= units - EPS) {
                 return 0;
             }
-            if (room >= tries) {
-                ask(now, units - held); // danger: a debt that no call pays off would refuse for ever
-            }
-            return away;
+            // Danger: a debt that no call pays off would refuse for ever.
+            boolean asked = room >= tries && (calling || ask(now, units - held));
+            return asked && capped && mayAsk ? -1 : away;
         }
 
         void take(double now, Request r) {
-            ceiling -= plan.ceilingRate() > 0 ? r.units() : 0;
+            ceiling -= plan.ceilingRate() > 0 && !leased(units(r)) ? r.units() : 0;
             use += units(r) / BLOCK_MS * 0.2;
             tries += 0.3 * (units(r) - tries);
             if (posts()) {
@@ -604,17 +620,26 @@
             double past = now - refreshedAt;
             refreshedAt = now;
             use *= Math.exp(-past / (5 * BLOCK_MS));
-            double most = plan.ceilingBurst() / width - opening();
-            ceiling = Math.min(Math.max(ceiling, most), ceiling + plan.ceilingRate() / width * past / 1000);
+            double most = part() - opening();
+            double gain = plan.ceilingRate() - (guarded ? plan.rate() : 0);
+            if (guarded && tally.silent()) { // no lease is given: from then on all of the gain is free
+                most = Math.max(most, set.largestUnits() + EPS);
+                gain = plan.ceilingRate() * Math.min(1, (now - tally.silentAt) / Math.max(EPS, past));
+            } else if (guarded) {
+                ceiling = Math.min(ceiling, part());
+            }
+            ceiling = Math.min(Math.max(ceiling, most), ceiling + gain / width * past / 1000);
             share = Math.min(shareDepth(), share + rate() / width * past / 1000);
         }
 
         /**
          * What may be taken from the store now: what the last answer left and this gateway's part of the gain
-         * since. Danger: each gateway counting on the whole gain lets a busy customer have it several times.
+         * since. Danger: each gateway counting on the whole gain lets a busy customer have it several times;
+         * where a ceiling bounds what is sent on credit, counting on a part asks too late.
          */
         private double room(double now) {
-            return Math.max(0, Math.min(quotaBurst, store + rate() / width * (now - storeAt) / 1000));
+            double gain = rate() / (guarded ? 1 : width) * (now - storeAt) / 1000;
+            return Math.max(0, Math.min(quotaBurst, store + gain));
         }
 
         private double fillMs() {
@@ -656,6 +681,11 @@
             act.add(name, amount, KEEP_MS);
         }
 
+        /** Danger: a block that stands for tries elsewhere is no proof of room under a ceiling. */
+        private double thrift() {
+            return guarded ? 1 : tally.thrift;
+        }
+
         /**
          * Asks for the next block: at once where it is soon used here, else with the chance that makes the
          * blocks of all gateways add up to what they sent on. Danger: a call a try drowns the counter.
@@ -664,11 +694,12 @@
             if (calling || !set.counter().present() || tally.silent() && now < tally.readAt) {
                 return false;
             }
-            double least = tally.thrift * tries;
+            double least = thrift() * tries;
             double soon = Math.min(use * BLOCK_MS, room(now) / (2 * width));
             double amount = Math.max(0, -held) + Math.max(least, soon);
             boolean spent = known && room(now) < tries && now - storeAt < SPENT_MS;
-            if (soon < least && !spent && !tally.silent() && random.nextDouble() * amount >= missing) {
+            if (soon < least && !spent && !tally.silent()
+                    && (guarded ? missing < EPS : random.nextDouble() * amount >= missing)) {
                 return false;
             }
             turn(now);
@@ -686,7 +717,9 @@
             calling = false;
             refresh(now);
             if (how == Outcome.TIMEOUT || how == Outcome.RESET) {
-                held += mine; // as added: a crowded counter still works on it, and a spoilt answer came of it
+                // As added: a crowded counter still works on it, and a spoilt answer came of it. Danger:
+                // under a ceiling it pays a debt and leases nothing, as nobody said that the store held it.
+                held = guarded ? Math.min(held + mine, Math.max(held, 0)) : held + mine;
                 others = plan.maxOut();
             } else if (how == Outcome.OK && called == name && posts()) {
                 posted += mine;
@@ -698,7 +731,12 @@
             waiting.clear();
             for (Req q : held) {
                 if (open.containsKey(q.r.id())) {
-                    decide(now, q, admit(now, q.r, false));
+                    double wait = admit(now, q.r, guarded && how == Outcome.OK);
+                    if (wait < 0) {
+                        waiting.add(q);
+                    } else {
+                        decide(now, q, wait);
+                    }
                 }
             }
         }
@@ -708,7 +746,9 @@
             seen = 0;
             if (!known || storeAt < tally.emptiedAt) {
                 double age = Math.min(windowAge(now), now - tally.emptiedAt);
-                store = quotaBurst + rate() * age / 1000 - total + mine;
+                store = quotaBurst + rate() * age / 1000;
+                // Danger: where the last window ended with a burst, this one would begin with another.
+                store = (guarded ? Math.min(store, plan.ceilingRate() * age / 1000) : store) - total + mine;
                 // Danger: units unused since the window began pile up past the burst. They expire.
                 if (plan.rate() > 0 && store > 1.5 * quotaBurst) {
                     seen = store - quotaBurst;
@@ -725,7 +765,7 @@
             seen += total;
             held += Math.max(0, mine); // what goes back left the lease when the call did
             // What was sent beyond the quota took nothing from it: such a debt is forgiven.
-            double back = Math.max(0, Math.min(mine, -store - (tally.thrift - 1) * tries));
+            double back = Math.max(0, Math.min(mine, -store - (thrift() - 1) * tries));
             if (back > EPS) {
                 held = Math.max(0, held - back);
                 call(now, -back);
--- a/decision/src/test/java/lichenbeam/RulesTest.java
+++ b/decision/src/test/java/lichenbeam/RulesTest.java
@@ -164,6 +164,26 @@
         assertEquals(20, s.sent(), "after any rest at most what leaves a restart its own");
     }
 
+    /** Guards against a ceiling cut up among gateways: the one that a customer comes through has room for little. */
+    @Test
+    void whatTheCounterLeasesPassesUnderACeilingThatIsDividedAmongMany() {
+        Script s = new Script(Script.SAFE, new Plan(2, 4, 0, 5, 9, 1, 0, 1), 0, 8).servers(8);
+        for (int i = 0; i < 4; i++) {
+            s.request(1, 5, 8);
+            s.counted(0);
+            if (s.lastAmount() > 1) {
+                s.counted(0);   // what has piled up past the burst expires
+            }
+        }
+        assertEquals(4, s.sent(), "the whole burst, at one gateway of eight");
+        s.request(1, 5, 8);
+        s.counted(3);
+        assertEquals(4, s.sent(), "the others have used what came back since");
+        s.request(1, 6, 8);
+        s.counted(Outcome.TIMEOUT);
+        assertEquals(4, s.sent(), "nobody said that the store held it");
+    }
+
     @Test
     void aFailedListChangesNothingAndIsAskedForAgain() {
         Script s = new Script(Script.SAFE, Script.OPEN).servers(2);
--- a/gateway/src/test/java/stonelb/WatchTest.java
+++ b/gateway/src/test/java/stonelb/WatchTest.java
@@ -63,4 +63,22 @@
             }
         }
     }
+
+    /** Guards against gateways that together keep down a discovery that can't keep up. */
+    @Test
+    void aDiscoveryThatCannotKeepUpIsAskedForChangesOnlyAndLessAndLessOften() throws Exception {
+        try (StandIns around = new StandIns(); Peer discovery = new Peer(this::session)) {
+            list = around.list();
+            answer = Peer.httpAnswer(503, "", "busy");
+            String config = around.config("127.0.0.1:0", Program.OPEN).replace(around.discovery.address(),
+                    discovery.address());
+            try (Program program = new Program(folder, config, null);
+                    Client client = new Client(program.port("the platform"))) {
+                Program.until("it asks again", () -> calls.size() >= 4);
+                assertEquals(List.of(), calls.stream().skip(1).filter(c -> !c.contains("index=")).toList());
+                assertEquals("echo x", client.ask("Q.ASK", "0000000000000001", "2",
+                        "c=read,t=open,d=9000,units=1,spread=1,first=0", "x"));
+            }
+        }
+    }
 }
