A customer found spent is leased exactly where its part of the burst holds no try

One try on credit at each of up to 14 gateways, and blocks of up to 30 tries taken while the counter is crowded, are several quotas of 2 units.

Changed in Choice.Customer: for ten seconds after an answer found the store spent, such a customer has no share while the counter answers, its block is one try, and all that the store did not hold goes back.

--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -493,6 +493,7 @@
         double held;                  // leased and not spent; below 0: sent on credit
         double store, seen;           // what the counter's last total left for all, and that total
         double storeAt = Double.NEGATIVE_INFINITY, refreshedAt;
+        double spentAt = Double.NEGATIVE_INFINITY;    // when an answer last found the store spent
         int skips;                    // answers to come that tell nothing
         double pending, block;        // amount of the call out, and of the last one without its debt
         double share;                 // units this gateway may send on without a word from the counter
@@ -579,7 +580,7 @@
                 if (!capped && held + quotaBurst / width >= units) {
                     return 0;
                 }
-                return mayAsk && (calling || ask(now, units - held)) ? -1 : alone;
+                return mayAsk && (calling || ask(now, units - held)) ? -1 : pressed(now) ? away : alone;
             }
             double room = room(now);
             if (!capped && held + room * Math.max(1.0 / width, room / quotaBurst) >= units - EPS) {
@@ -691,9 +692,20 @@
             act.add(name, amount, KEEP_MS);
         }
 
-        /** Danger: a block that stands for tries elsewhere is no proof of room under a ceiling. */
-        private double thrift() {
-            return guarded ? 1 : tally.thrift;
+        /**
+         * Danger: blocks that stand for tries elsewhere, and shares, are no proof of room under a ceiling; at
+         * gateways so many that a part of the burst holds no try, they give a customer several quotas.
+         */
+        private boolean exact(double now) {
+            return guarded || pressed(now);
+        }
+
+        private boolean pressed(double now) {
+            return quotaBurst / width < tries && now - spentAt < SPENT_MS;
+        }
+
+        private double thrift(double now) {
+            return exact(now) ? 1 : tally.thrift;
         }
 
         /**
@@ -704,12 +716,12 @@
             if (calling || !set.counter().present() || tally.silent() && now < tally.readAt) {
                 return false;
             }
-            double least = thrift() * tries;
+            double least = thrift(now) * tries;
             double soon = Math.min(use * BLOCK_MS, room(now) / (2 * width));
             double amount = Math.max(0, -held) + Math.max(least, soon);
             boolean spent = known && room(now) < tries && now - storeAt < SPENT_MS;
             if (soon < least && !spent && !tally.silent()
-                    && (guarded ? missing < EPS : random.nextDouble() * amount >= missing)) {
+                    && (exact(now) ? missing < EPS : random.nextDouble() * amount >= missing)) {
                 return false;
             }
             turn(now);
@@ -771,11 +783,12 @@
             }
             store = Math.min(quotaBurst, store) - mine;
             storeAt = now;
+            spentAt = store < 0 ? now : spentAt;
             known = true;
             seen += total;
             held += Math.max(0, mine); // what goes back left the lease when the call did
             // What was sent beyond the quota took nothing from it: such a debt is forgiven.
-            double back = Math.max(0, Math.min(mine, -store - (thrift() - 1) * tries));
+            double back = Math.max(0, Math.min(mine, -store - (thrift(now) - 1) * tries));
             if (back > EPS) {
                 held = Math.max(0, held - back);
                 call(now, -back);
--- a/decision/src/test/java/lichenbeam/LeaseTest.java
+++ b/decision/src/test/java/lichenbeam/LeaseTest.java
@@ -290,4 +290,26 @@
         assertEquals(9, s.sent());
         assertEquals(0, s.count("add "), "nothing hangs on the answer");
     }
+
+    /** Guards against blocks for tries elsewhere that a customer at its end spends at each of many gateways. */
+    @Test
+    void aCustomerFoundSpentKeepsNothingOfABlockHoweverCrowdedTheCounter() {
+        Script s = sparse();
+        for (int i = 0; i < 6; i++) {
+            long id = s.request(2, 100 + i, 50);
+            s.counted(Outcome.FULL).ended(id, 0, s.serverOf(id), Outcome.OK, 50);
+        }
+        for (long asked = s.count("add"); s.count("add") == asked; ) {
+            long id = s.request(2, 5, 50);
+            s.ended(id, 0, s.serverOf(id), Outcome.OK, 50);
+        }
+        assertTrue(s.lastAmount() > 40, "a block: " + s.lastAmount());
+        s.counted(30).counted(0).pass(50);
+        long sent = s.sent();
+        for (int i = 0; i < 10; i++) {
+            long id = s.request(2, 5, 50);
+            s.ended(id, 0, s.serverOf(id), Outcome.OK, 50);
+        }
+        assertTrue(s.sent() <= sent + 3, s.sent() - sent + " tries of 2 units, where the store holds 6 at most");
+    }
 }
