Prefer servers met only where a gateway meets each of them seldom

Seen: the control service's test of weights failed, {1=1, 2=121, 3=1, ...}: weights follow the module's choices, and the preference for servers met (Srv.cost) gathered them on three of six servers. Cause: it held at any rate of sends. The test passes again.

--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -40,6 +40,7 @@
     private static final double FEW = 4;              // units answered that tell too little to refuse by
     private static final double DOUBT_MS = 20_000, DOUBT = 4; // after an error: for what may be repeated
     private static final double MET_MS = 20_000, UNMET = 1.5;  // a connection is kept for so long; one costs
+    private static final double SELDOM_MS = 1000;     // between two meetings: connections are seldom shared
     private static final double EPS = 1e-3;
     private static final long TICK = 1;               // timer tokens; a request's is its id << 3
 
@@ -874,7 +875,7 @@
         double cost(double now) {
             double r = (samples * rel + TRUST) / (samples + TRUST);
             return r * (out + 1) * fleet.meanWeight / weight * (now < coldUntil ? 0.5 : 1)
-                    * (now - metAt > MET_MS ? UNMET : 1);
+                    * (fleet.meetMs > SELDOM_MS && now - metAt > MET_MS ? UNMET : 1);
         }
     }
 
