--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -714,8 +714,8 @@
 
         /**
          * A part of its burst holds under two tries: each is counted before it passes. Where the store is
-         * spent, its unit stays booked; the next try here takes it when due. Danger: blocks leased ahead lie at
-         * gateways that meet the customer seldom, and hold several times its burst.
+         * spent, its unit stays booked; the next try here takes it when due. Danger: blocks leased ahead lie
+         * at gateways that meet the customer seldom, and hold several times its burst.
          */
         private boolean sparse() {
             return plan.rate() > 0 && quotaBurst / width < 2 * tries;
