--- a/gateway/src/main/java/stonelb/WarmUp.java
+++ b/gateway/src/main/java/stonelb/WarmUp.java
@@ -35,7 +35,7 @@
  * of its own and no socket; its plan servers and counter answer here, and nothing of it is kept.
  */
 final class WarmUp implements Ports.Servers, Ports.Counter {
-    private static final int QUERIES = 400;
+    private static final int QUERIES = 350;
     private static final double MOST_MS = 700;   // a gateway that starts again is missed meanwhile
     private static final int SERVERS = 10;
     private static final int CUSTOMERS = 60;
