Say in one log line that the counter gave no answer in time

Need: a counter that refuses or sends nonsense is said, one that is silent or crowded was not; the on-call page had no line to look for. The new test has a call that nobody answers and finds the line; before, nothing was written.

--- a/core/src/main/java/stonelb/counter/CounterCalls.java
+++ b/core/src/main/java/stonelb/counter/CounterCalls.java
@@ -109,6 +109,9 @@
     }
 
     void report(CounterCall call, Outcome how, double total) {
+        if (how == Outcome.TIMEOUT) {
+            log.warn("counter gave no answer in time", "the call counts as added");
+        }
         answers.counted(call.name(), how, loop.now() - call.startedAt(), total);
     }
 }
--- a/core/src/test/java/stonelb/counter/CounterTest.java
+++ b/core/src/test/java/stonelb/counter/CounterTest.java
@@ -21,6 +21,7 @@
 class CounterTest {
     private volatile double clock = 1_000_000;
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
     private final Loop loop = new Loop(new Log(), () -> clock);
     private final ServerSocket listener;
     private final CounterCalls calls;
@@ -29,7 +30,7 @@
     CounterTest() throws Exception {
         listener = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
         listener.setSoTimeout(20_000);
-        calls = new CounterCalls(loop, new Log(), (InetSocketAddress) listener.getLocalSocketAddress(), 50);
+        calls = new CounterCalls(loop, new Log(lines::add), (InetSocketAddress) listener.getLocalSocketAddress(), 50);
         loop.execute(() -> calls.begin((name, how, took, total) -> told.add(name + " " + how + " " + total)));
     }
 
@@ -89,6 +90,16 @@
     }
 
     /** Guards against all further calls that would wait behind an answer without an end, as if nobody answered. */
+    /** Guards against a counter that is silent or crowded and seen by nobody. */
+    @Test
+    void aCallWithoutAnAnswerInTimeIsSaid() throws Exception {
+        add(5);
+        call();
+        clock += 60;
+        assertEquals("8 TIMEOUT 0.0", next());
+        assertEquals("counter gave no answer in time: the call counts as added", lines.poll(20, TimeUnit.SECONDS));
+    }
+
     @Test
     void anAnswerThatNeverEndsCostsItsLinkAndNoFurtherCall() throws Exception {
         for (String begun : new String[] {"HTTP/1.1 200 X\r\nContent-Length: 40\r\n\r\n1", "noise without an end"}) {
