Test that a customer found spent gets no block under a crowded counter; shorten lease tests

The rule stood in the module without a test of its own: a gateway that asks for a customer whose store was found spent gets its own units and no block. The new test holds the crowd at the counter and counts what passes; it was green on the module and fails where the block is given. Two lease tests share their fleet; comments of the module say what they mean.

--- a/core/src/test/java/stonelb/counter/CounterTest.java
+++ b/core/src/test/java/stonelb/counter/CounterTest.java
@@ -89,7 +89,6 @@
         assertNull(told.poll(), "the late answer is told to nobody");
     }
 
-    /** Guards against all further calls that would wait behind an answer without an end, as if nobody answered. */
     /** Guards against a counter that is silent or crowded and seen by nobody. */
     @Test
     void aCallWithoutAnAnswerInTimeIsSaid() throws Exception {
@@ -100,6 +99,7 @@
         assertEquals("counter gave no answer in time: the call counts as added", lines.poll(20, TimeUnit.SECONDS));
     }
 
+    /** Guards against all further calls that would wait behind an answer without an end, as if nobody answered. */
     @Test
     void anAnswerThatNeverEndsCostsItsLinkAndNoFurtherCall() throws Exception {
         for (String begun : new String[] {"HTTP/1.1 200 X\r\nContent-Length: 40\r\n\r\n1", "noise without an end"}) {
--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -648,7 +648,7 @@
         private void refresh(double now) {
             double past = now - refreshedAt;
             refreshedAt = now;
-            held = sparse() && now - dueAt > fillMs() ? Math.min(held, 0) : held; // the store is full
+            held = sparse() && now - dueAt > fillMs() ? Math.min(held, 0) : held; // booked: lapses
             use *= Math.exp(-past / (5 * BLOCK_MS));
             double most = part() - opening();
             double gain = plan.ceilingRate() - (guarded ? plan.rate() : 0);
@@ -715,8 +715,8 @@
 
         /**
          * A part of its burst holds under two tries: each is counted before it passes. Where the store is
-         * spent, its unit stays booked; the next try here takes it when due. Danger: blocks leased ahead lie
-         * at gateways that meet the customer seldom, and hold several times its burst.
+         * spent, its unit stays booked; the next try here takes it when due, unless the store filled since.
+         * Danger: blocks leased ahead lie where the customer comes seldom, and hold several times its burst.
          */
         private boolean sparse() {
             return plan.rate() > 0 && quotaBurst / width < 2 * tries;
@@ -730,7 +730,7 @@
             if (calling || !set.counter().present() || tally.silent() && now < tally.readAt) {
                 return false;
             }
-            double least = (guarded ? 1 : tally.thrift) * tries; // danger: a block for tries elsewhere
+            double least = (guarded ? 1 : tally.thrift) * tries; // else blocks stand for tries elsewhere
             double soon = Math.min(use * BLOCK_MS, room(now) / (2 * width));
             double amount = Math.max(0, -held) + Math.max(least, soon);
             boolean spent = known && room(now) < tries && now - storeAt < SPENT_MS;
--- a/decision/src/test/java/lichenbeam/LeaseTest.java
+++ b/decision/src/test/java/lichenbeam/LeaseTest.java
@@ -91,10 +91,7 @@
     /** Guards against blocks held where a customer comes seldom: the fleet would hold back half of its quota. */
     @Test
     void aCustomerSpreadOverManyGatewaysGetsItsQuotaAndNoMore() {
-        List<Script> fleet = new ArrayList<>();
-        for (int g = 0; g < 10; g++) {
-            fleet.add(new Script(Script.SAFE, Script.rate(0.5, 3), g, 10).servers(60));
-        }
+        List<Script> fleet = fleet(Script.rate(0.5, 3), 10);
         Totals totals = new Totals(fleet.size());
         SplittableRandom random = new SplittableRandom(11);
         for (int i = 0; i < 240; i++) {   // four times its quota, for a minute
@@ -111,28 +108,28 @@
     /** Guards against booked units that lie at all gateways beside a full store, and break a ceiling at once. */
     @Test
     void bookedUnitsThatWaitedUntilTheStoreIsFullLapse() {
-        Gateway.Plan plan = new Gateway.Plan(1, 4, 0, 2, 8, 1, 0, 1);
-        List<Script> fleet = new ArrayList<>();
-        for (int g = 0; g < 4; g++) {
-            fleet.add(new Script(Script.SAFE, plan, g, 4).servers(60));
-        }
-        Totals totals = new Totals(4);
-        for (int i = 0; i < 6; i++) {
-            for (int g = 0; g < 4; g++) {
-                totals.ask(fleet.get(g), g, 4);   // spent, and a unit booked at each
-            }
+        List<Script> fleet = fleet(new Gateway.Plan(1, 4, 0, 2, 8, 1, 0, 1), 4);
+        Totals totals = new Totals(fleet.size());
+        for (int i = 0; i < 24; i++) {
+            totals.ask(fleet.get(i % 4), i % 4, 4);   // spent, and a unit booked at each
         }
         long before = fleet.stream().mapToLong(Script::sent).sum();
         fleet.forEach(s -> s.pass(30_000));
-        for (int i = 0; i < 6; i++) {
-            for (int g = 0; g < 4; g++) {
-                totals.ask(fleet.get(g), g, 4);
-            }
+        for (int i = 0; i < 24; i++) {
+            totals.ask(fleet.get(i % 4), i % 4, 4);
         }
         long sent = fleet.stream().mapToLong(Script::sent).sum() - before;
         assertTrue(sent >= 4 && sent <= 5, sent + " tries at once, where a burst is 4");
     }
 
+    private static List<Script> fleet(Gateway.Plan plan, int gateways) {
+        List<Script> fleet = new ArrayList<>();
+        for (int g = 0; g < gateways; g++) {
+            fleet.add(new Script(Script.SAFE, plan, g, gateways).servers(60));
+        }
+        return fleet;
+    }
+
     /** One counter for several gateways, which answers at once. */
     private static final class Totals {
         private final double[] seen;
@@ -377,4 +374,26 @@
         assertEquals(9, s.sent());
         assertEquals(0, s.count("add "), "nothing hangs on the answer");
     }
+
+    /** Guards against blocks for tries elsewhere that a customer at its end spends at each of many gateways. */
+    @Test
+    void aCustomerFoundSpentGetsNothingMoreHoweverCrowdedTheCounter() {
+        Script s = sparse();
+        for (int i = 0; i < 6; i++) {
+            long id = s.request(2, 100 + i, 50);
+            s.counted(Outcome.FULL).ended(id, 0, s.serverOf(id), Outcome.OK, 50);
+        }
+        for (long asked = s.count("add"); s.count("add") == asked; ) {
+            long id = s.request(2, 5, 50);
+            s.ended(id, 0, s.serverOf(id), Outcome.OK, 50);
+        }
+        assertEquals(2, s.lastAmount(), "its own units and no block");
+        s.counted(30).counted(0).pass(50);
+        long sent = s.sent();
+        for (int i = 0; i < 10; i++) {
+            long id = s.request(2, 5, 50);
+            s.ended(id, 0, s.serverOf(id), Outcome.OK, 50);
+        }
+        assertTrue(s.sent() <= sent + 3, s.sent() - sent + " tries of 2 units, where the store holds 6 at most");
+    }
 }
