Take replaced certificates and authorities within a second; two services behind one counter

Ruled out: the issuers named to clients (none are), the file's time stamp, the client's own trust. Cause: the library's timer turns every refresh period under a minute into one minute, so both lists and certificates came a minute late.

Change: Credentials looks at the three files itself each second and takes them together or not at all; a key that does not sign for the certificate is refused, which holds while the two files are replaced in turn. One log line tells either way. The thread that watches the description ends with the loop and no longer dies with a stack trace on standard error.

--- a/control/src/main/java/stonelb/control/Credentials.java
+++ b/control/src/main/java/stonelb/control/Credentials.java
@@ -4,47 +4,126 @@
 import io.grpc.TlsServerCredentials;
 import io.grpc.util.AdvancedTlsX509KeyManager;
 import io.grpc.util.AdvancedTlsX509TrustManager;
+import io.grpc.util.CertificateUtils;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.security.GeneralSecurityException;
+import java.security.PrivateKey;
+import java.security.Signature;
 import java.security.cert.CertificateException;
 import java.security.cert.X509Certificate;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import javax.net.ssl.SSLEngine;
 import javax.net.ssl.X509ExtendedTrustManager;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stonelb.config.Configuration;
 
 /**
- * Mutual TLS from files that may be replaced while serving: they are looked at every few seconds, and connections made
- * from then on use what is in them. Files that do not read well leave those in force.
+ * Mutual TLS from files that may be replaced while serving: they are looked at every second, and connections made from
+ * then on use what is in them. Files that do not read well, or a key that is not the certificate's, leave those in force.
  */
 final class Credentials implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Credentials.class);
     private static final long LOOK_MS = 1000;
 
+    private final ControlSettings.Tls files;
     private final ScheduledExecutorService looks = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "certificates");
         t.setDaemon(true);
         return t;
     });
+    private final AdvancedTlsX509KeyManager identity = new AdvancedTlsX509KeyManager();
+    private final AdvancedTlsX509TrustManager trust;
     private final ServerCredentials server;
+    private List<Object> seen;
 
     Credentials(ControlSettings.Tls tls) throws Configuration.Invalid {
+        files = tls;
         try {
-            AdvancedTlsX509KeyManager key = new AdvancedTlsX509KeyManager();
-            key.updateIdentityCredentials(tls.certificate().toFile(), tls.key().toFile(), LOOK_MS, TimeUnit.MILLISECONDS,
-                    looks);
-            AdvancedTlsX509TrustManager trust = AdvancedTlsX509TrustManager.newBuilder()
+            trust = AdvancedTlsX509TrustManager.newBuilder()
                     .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION).build();
-            trust.updateTrustCredentials(tls.clients().toFile(), LOOK_MS, TimeUnit.MILLISECONDS, looks);
-            server = TlsServerCredentials.newBuilder().keyManager(key).trustManager(new AnyIssuer(trust))
+            seen = state();
+            take();
+            server = TlsServerCredentials.newBuilder().keyManager(identity).trustManager(new AnyIssuer(trust))
                     .clientAuth(TlsServerCredentials.ClientAuth.REQUIRE).build();
         } catch (IOException | GeneralSecurityException | RuntimeException e) {
             looks.shutdownNow();
-            throw new Configuration.Invalid("'tls': a certificate, key or list of authorities can't be used: "
-                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            throw new Configuration.Invalid("'tls': a certificate, key or list of authorities can't be used: " + why(e));
         }
+        // Not by the library's own timer: it turns every period under a minute into a minute.
+        looks.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Guards against an exception that would end the looks for good, and against a line a second for one bad file. */
+    private void look() {
+        try {
+            List<Object> now = state();
+            if (!now.equals(seen)) {
+                seen = now;
+                take();
+                LOG.info("certificates or authorities replaced, the new ones are in force");
+            }
+        } catch (IOException | GeneralSecurityException | RuntimeException e) {
+            LOG.warn("certificates not taken, the old ones stay in force: {}", why(e));
+        }
+    }
+
+    /** What tells that a file was replaced. */
+    private List<Object> state() throws IOException {
+        List<Object> all = new ArrayList<>();
+        for (Path p : List.of(files.certificate(), files.key(), files.clients())) {
+            BasicFileAttributes a = Files.readAttributes(p, BasicFileAttributes.class);
+            all.add(List.of(a.lastModifiedTime(), a.size(), String.valueOf(a.fileKey())));
+        }
+        return all;
+    }
+
+    /** All three are read before any is used. Guards against a certificate whose key has not been replaced yet. */
+    private void take() throws IOException, GeneralSecurityException {
+        X509Certificate[] chain = certificates(files.certificate());
+        X509Certificate[] authorities = certificates(files.clients());
+        PrivateKey key;
+        try (InputStream in = Files.newInputStream(files.key())) {
+            key = CertificateUtils.getPrivateKey(in);
+        }
+        Signature signature = Signature.getInstance(switch (key.getAlgorithm()) {
+            case "RSA" -> "SHA256withRSA";
+            case "EC" -> "SHA256withECDSA";
+            default -> key.getAlgorithm();
+        });
+        signature.initSign(key);
+        signature.update(chain[0].getEncoded());
+        byte[] signed = signature.sign();
+        signature.initVerify(chain[0].getPublicKey());
+        signature.update(chain[0].getEncoded());
+        if (!signature.verify(signed)) {
+            throw new GeneralSecurityException(files.key() + " is not the key of " + files.certificate());
+        }
+        identity.updateIdentityCredentials(chain, key);
+        trust.updateTrustCredentials(authorities);
+    }
+
+    private static X509Certificate[] certificates(Path file) throws IOException, GeneralSecurityException {
+        try (InputStream in = Files.newInputStream(file)) {
+            X509Certificate[] all = CertificateUtils.getX509Certificates(in);
+            if (all.length == 0) {
+                throw new GeneralSecurityException(file + " holds no certificate");
+            }
+            return all;
+        }
+    }
+
+    private static String why(Exception e) {
+        return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
     }
 
     ServerCredentials server() {
--- a/control/src/test/java/stonelb/control/FollowingTest.java
+++ b/control/src/test/java/stonelb/control/FollowingTest.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import stonelb.follower.Options;
 import stonelb.proxy.StandInProxy;
 import stonelb.standins.Program;
 
@@ -92,4 +93,31 @@
             });
         }
     }
+
+    /** One clinic through proxies of two services: what the first lets out, the second finds on the counter. */
+    @Test
+    void twoServicesBehindOneCounterHoldAClinicToOneQuota() throws Exception {
+        try (Rig rig = new Rig(folder, 2, "")) {
+            StandInProxy one = rig.proxy("p-1", true);
+            try (ControlService second = rig.start("127.0.0.1:0", "")) {
+                StandInProxy two = new StandInProxy(new Options("p-2", "127.0.0.1", second.port(), true, null, 50), 0);
+                rig.more.add(two);
+                Program.until("it follows the second", () -> two.follower().ready());
+                double began = System.nanoTime() / 1e9;
+                int[] served = new int[2];
+                // Long enough that two quotas would stand out from one and what is allowed beside it.
+                for (int i = 0; System.nanoTime() / 1e9 - began < 5; i++) {
+                    served[i % 2] += rig.ask(i % 2 == 0 ? one : two, "ab", "consulta") == 200 ? 1 : 0;
+                }
+                double quota = 8 + 2 * (System.nanoTime() / 1e9 - began);
+                int all = served[0] + served[1];
+                // A burst that the shares of a fresh set begin with, and the fallback's first request at each proxy.
+                assertTrue(all <= quota + 8 + 2, all + " served of a quota of " + quota);
+                assertTrue(served[0] > 0 && served[1] > 0 && all >= 6, served[0] + " and " + served[1]);
+                rig.fleet.counterSilent = true;
+                rig.service.close();
+                assertEquals(200, rig.ask(two, "ac", "red"), "the second serves on");
+            }
+        }
+    }
 }
--- a/control/src/test/java/stonelb/control/TlsTest.java
+++ b/control/src/test/java/stonelb/control/TlsTest.java
@@ -1,6 +1,8 @@
 package stonelb.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryRequest;
@@ -119,4 +121,37 @@
             assertEquals(Status.Code.UNAVAILABLE, ends(rig, null, "p-1").getCode());
         }
     }
+
+    /** A list of authorities that is replaced: those of the new one get in, those that are gone from it do not. */
+    @Test
+    @org.junit.jupiter.api.Timeout(60)
+    void aReplacedListOfAuthoritiesIsTakenWhileServing() throws Exception {
+        authority("other");
+        signed("q-1", "other");
+        Path list = folder.resolve("clients.pem");
+        Files.copy(folder.resolve("root.pem"), list);
+        try (Rig rig = new Rig(folder, 2, tls().replace("root.pem", "clients.pem"))) {
+            assertEquals(Status.Code.UNAVAILABLE, ends(rig, "q-1", "q-1").getCode());
+            Path next = folder.resolve("next.pem");
+            Files.copy(folder.resolve("other.pem"), next);
+            Files.move(next, list, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            Program.until("the new authority's are let in", () -> {
+                try {
+                    return ends(rig, "q-1", "p-1").getCode() == Status.Code.PERMISSION_DENIED;
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertEquals(Status.Code.UNAVAILABLE, ends(rig, "p-1", "p-2").getCode());
+        }
+    }
+
+    /** Guards against a certificate that is in force with the key of another, while the two files are replaced in turn. */
+    @Test
+    void aKeyThatIsNotTheCertificatesIsRefused() {
+        ControlSettings.Tls files = new ControlSettings.Tls(folder.resolve("server.pem"), folder.resolve("p-1.key"),
+                folder.resolve("root.pem"));
+        var e = assertThrows(stonelb.config.Configuration.Invalid.class, () -> new Credentials(files));
+        assertTrue(e.getMessage().contains("p-1.key is not the key of"), e.getMessage());
+    }
 }
--- a/core/src/main/java/stonelb/description/DescriptionFile.java
+++ b/core/src/main/java/stonelb/description/DescriptionFile.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import lichenbeam.Gateway.Settings;
 import stonelb.io.Log;
@@ -51,30 +52,36 @@
 
     public void watch(int everyMs, Consumer<Routes> swap) {
         Thread thread = new Thread(() -> {
-            String said = "";   // a file that stays bad is said once
-            while (true) {
-                try {
-                    Thread.sleep(everyMs);
-                    Routes routes = load();
-                    said = "";
-                    if (routes != null) {
-                        loop.execute(() -> {
-                            swap.accept(routes);
-                            log.say("description " + file + " changed: " + routes.size() + " operations serve now");
-                        });
-                    }
-                } catch (InterruptedException e) {
-                    return;
-                } catch (Description.Rejected e) {
-                    String why = e.getMessage();
-                    if (!why.equals(said)) {
-                        loop.execute(() -> log.say("description rejected, the old one serves on: " + file + ": " + why));
-                    }
-                    said = why;
-                }
+            try {
+                look(everyMs, swap);
+            } catch (InterruptedException | RejectedExecutionException e) {
+                Thread.currentThread().interrupt();   // the loop has ended: nobody is left to be told
             }
         }, "description");
         thread.setDaemon(true);
         thread.start();
     }
+
+    private void look(int everyMs, Consumer<Routes> swap) throws InterruptedException {
+        String said = "";   // a file that stays bad is said once
+        while (true) {
+            Thread.sleep(everyMs);
+            try {
+                Routes routes = load();
+                said = "";
+                if (routes != null) {
+                    loop.execute(() -> {
+                        swap.accept(routes);
+                        log.say("description " + file + " changed: " + routes.size() + " operations serve now");
+                    });
+                }
+            } catch (Description.Rejected e) {
+                String why = e.getMessage();
+                if (!why.equals(said)) {
+                    loop.execute(() -> log.say("description rejected, the old one serves on: " + file + ": " + why));
+                }
+                said = why;
+            }
+        }
+    }
 }
