Measure 10,000 clinics on 1,000 streams, with a plot; test a clock that jumps and silence

Two tests: the clock behind the leases goes forward by an hour; the counter falls silent while leases of half a second run out, through a stand-in proxy.

--- a/cli/src/main/java/stonelb/cli/ControlMeasure.java
+++ b/cli/src/main/java/stonelb/cli/ControlMeasure.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.Gson;
 import java.io.PrintWriter;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -71,8 +72,8 @@
     }
 
     /** Runs the sizes alone. */
-    boolean sizes(boolean json) throws Exception {
-        size();
+    boolean sizes(boolean json, Path plot) throws Exception {
+        size(plot);
         return finished(json);
     }
 
@@ -215,21 +216,37 @@
     }
 
     /** What one changed endpoint costs beside a full push, and the time until it is acknowledged, as streams grow. */
-    private void size() throws Exception {
+    private void size(Path plot) throws Exception {
+        List<Growth.Point> grown = new ArrayList<>();
         for (int streams : new int[] {10, 100, 1000}) {
-            try (Installation led = new Installation(SERVERS, 4, PLANS, 0); ControlSize size = new ControlSize()) {
+            try (Installation led = new Installation(SERVERS, 4, PLANS, 0); ControlSize size = new ControlSize();
+                    ControlClinics clinics = new ControlClinics()) {
                 led.control("127.0.0.1:0");
                 ControlSize.Seen s = size.at(led, streams);
-                Runtime.getRuntime().gc();
-                double heap = (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1048576.0;
-                out.printf("%d streams: a full push %.0f bytes a stream, one changed endpoint %.0f, heap of the whole process %.0f MB%n",
-                        s.streams(), s.fullBytes(), s.changeBytes(), heap);
+                ControlClinics.Seen c = clinics.at(led, streams, streams * 10, THROUGH, NAMES);
+                double heap = heapMb();
+                out.printf("%d streams: a full push %.0f bytes a stream, one changed endpoint %.0f; %d clinics in %d buckets, "
+                        + "%d assigned, all reported at once, 99%% after %.0f ms; heap of the whole process %.0f MB%n", s.streams(),
+                        s.fullBytes(), s.changeBytes(), streams * 10, c.buckets(), c.assigned(), c.p99Ms(), heap);
                 figures.put(streams + " streams, full push bytes", s.fullBytes());
+                figures.put(streams + " streams, buckets", c.buckets());
                 figure(streams + " streams, change of full, %", 100 * s.changeBytes() / s.fullBytes(), 1);
                 figure(streams + " streams, change to ack p99 ms", s.p99Ms(), 1000);
+                figure(streams + " streams, buckets without answer", c.buckets() - c.assigned(), 0);
+                figures.put(streams + " streams, report to assignment p99 ms", c.p99Ms());
                 figure(streams + " streams, heap MB", heap, 1024);
+                grown.add(new Growth.Point(streams, s.p99Ms(), c.p99Ms(), heap, s.changeBytes() * streams / 1024));
             }
         }
+        if (plot != null) {
+            Growth.draw(grown, plot);
+            out.println("plot: " + plot);
+        }
+    }
+
+    private static double heapMb() {
+        Runtime.getRuntime().gc();
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1048576.0;
     }
 
     /** A drain told by discovery: until the last of 100 proxies sends nothing new there. */
--- a/cli/src/main/java/stonelb/cli/Measure.java
+++ b/cli/src/main/java/stonelb/cli/Measure.java
@@ -1,5 +1,6 @@
 package stonelb.cli;
 
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -18,6 +19,8 @@
     private boolean full;
     @Option(names = "--json", description = "the figures as JSON as well, on the last line")
     private boolean json;
+    @Option(names = "--plot", paramLabel = "FILE", description = "control-size: a picture (PNG) of how the cost grows")
+    private Path plot;
     @Spec
     private CommandSpec spec;
 
@@ -26,8 +29,11 @@
         if (!name.equals("control") && !name.equals("control-size")) {
             throw new CommandLine.ParameterException(spec.commandLine(), "there is no measurement '" + name + "'; there are: control, control-size");
         }
+        if (plot != null && !(name.equals("control-size") && plot.toString().endsWith(".png"))) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--plot takes a file that ends in .png, with control-size");
+        }
         ControlMeasure measure = new ControlMeasure(spec.commandLine().getOut(), full);
-        boolean held = name.equals("control") ? measure.run(json) : measure.sizes(json);
+        boolean held = name.equals("control") ? measure.run(json) : measure.sizes(json, plot);
         System.exit(held ? 0 : 1);   // stand-ins leave threads behind
         return 0;
     }
--- a/control/src/test/java/stonelb/control/FollowingTest.java
+++ b/control/src/test/java/stonelb/control/FollowingTest.java
@@ -94,6 +94,37 @@
         }
     }
 
+    /** Leases end after half a second here, and nobody can take a new block: shares of the quota go on. */
+    @Test
+    void aCounterThatFallsSilentWhileLeasesRunOutLeavesAShare() throws Exception {
+        try (Rig rig = new Rig(folder, 2, ",\"lifeMs\":500")) {
+            StandInProxy p = rig.proxy("p", true);
+            double began = System.nanoTime() / 1e9;
+            int served = 0;
+            for (int i = 0; i < 10; i++) {
+                served += rig.ask(p, "ad", "consulta") == 200 ? 1 : 0;
+            }
+            rig.fleet.counterSilent = true;
+            int asked = 0;
+            int inSilence = 0;
+            for (; System.nanoTime() / 1e9 - began < 5; asked++) {
+                inSilence += rig.ask(p, "ad", "consulta") == 200 ? 1 : 0;
+            }
+            // The bound of docs/design/control.md: the quota of 8 and 2 a second, two bursts and a request a proxy.
+            double bound = 8 + 2 * (System.nanoTime() / 1e9 - began) + 2 * 8 + 1;
+            assertTrue(asked > bound, asked + " asked tell nothing");
+            assertTrue(inSilence >= 1 && served + inSilence <= bound, served + " and " + inSilence + " in the silence, of " + bound);
+            rig.fleet.counterSilent = false;
+            Program.until("leases come again", () -> {
+                try {
+                    return rig.ask(p, "ad", "consulta") == 200;
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+        }
+    }
+
     /** One clinic through proxies of two services: what the first lets out, the second finds on the counter. */
     @Test
     void twoServicesBehindOneCounterHoldAClinicToOneQuota() throws Exception {
--- a/control/src/test/java/stonelb/control/quota/FollowerTest.java
+++ b/control/src/test/java/stonelb/control/quota/FollowerTest.java
@@ -329,6 +329,30 @@
         }
     }
 
+    /** A machine that slept, or a clock set forward by an hour: leases are over, and an hour's quota is not handed out. */
+    @Test
+    void aClockThatJumpsLeavesOneBurst() {
+        World w = new World();
+        double began = w.now;
+        for (int i = 0; i < 200; i++) {
+            w.run(w.now + 20);
+            w.arrive(i % PROXIES);
+            holds(w, began);
+        }
+        w.now += 3_600_000;
+        double jumped = w.now;
+        double before = w.sent();
+        double directly = w.direct();
+        for (int i = 0; i < 300; i++) {
+            w.run(w.now + 20);
+            w.arrive(i % PROXIES);
+            assertTrue(w.sent() - before + w.live() <= bound(w.now - jumped), () -> "sent " + (w.sent() - before)
+                    + " live " + w.live() + " after " + (w.now - jumped));
+        }
+        assertTrue(w.sent() - before >= (w.direct() - directly) / 2, "the quota goes on: " + (w.sent() - before)
+                + ", directly " + (w.direct() - directly));
+    }
+
     @Test
     void reportsThatCanNotBeTrueAreHeldToTheLease() {
         World w = new World();
