--- a/cli/src/main/java/stonelb/cli/ControlClinics.java
+++ b/cli/src/main/java/stonelb/cli/ControlClinics.java
@@ -6,10 +6,8 @@
 import io.envoyproxy.envoy.service.rate_limit_quota.v3.RateLimitQuotaServiceGrpc;
 import io.envoyproxy.envoy.service.rate_limit_quota.v3.RateLimitQuotaUsageReports;
 import io.envoyproxy.envoy.service.rate_limit_quota.v3.RateLimitQuotaUsageReports.BucketQuotaUsage;
-import io.grpc.InsecureChannelCredentials;
 import io.grpc.ManagedChannel;
 import io.grpc.Metadata;
-import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
 import io.grpc.stub.MetadataUtils;
 import io.grpc.stub.StreamObserver;
 import java.util.ArrayList;
@@ -19,12 +17,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
+import stonelb.control.quota.BucketKey;
 import stonelb.control.resources.Catalogue;
 
 /** Quota streams of many proxies, each with its buckets: how long the first assignment of each takes. */
 final class ControlClinics implements AutoCloseable {
-    private final List<ManagedChannel> channels = new ArrayList<>();
-    private final List<StreamObserver<RateLimitQuotaUsageReports>> open = new ArrayList<>();
+    private final Channels channels = new Channels();
     private final Histogram micros = new Histogram(120_000_000L, 3);
 
     /** How many buckets were reported, how many of them were assigned anything, and after what time. */
@@ -37,8 +35,8 @@
             reports.add(RateLimitQuotaUsageReports.newBuilder().setDomain(Catalogue.DOMAIN));
         }
         for (int c = 0; c < clinics; c++) {
-            BucketId id = BucketId.newBuilder().putBucket("clinic", Integer.toHexString(c + 1))
-                    .putBucket("plan", plans[c % plans.length]).putBucket("spread", Integer.toString(spread)).build();
+            BucketId id = BucketId.newBuilder().putBucket(BucketKey.CUSTOMER, Integer.toHexString(c + 1))
+                    .putBucket(BucketKey.PLAN, plans[c % plans.length]).putBucket(BucketKey.WIDTH, Integer.toString(spread)).build();
             for (int k = 0; k < spread; k++) {
                 reports.get((c + k) % streams).addBucketQuotaUsages(BucketQuotaUsage.newBuilder().setBucketId(id)
                         .setTimeElapsed(Durations.fromMillis(50)).setNumRequestsDenied(1));
@@ -47,10 +45,7 @@
         int buckets = clinics * spread;
         CountDownLatch waits = new CountDownLatch(buckets);
         for (int i = 0; i < streams; i++) {
-            if (i % 100 == 0) {
-                channels.add(NettyChannelBuilder.forAddress("127.0.0.1", led.control().port(), InsecureChannelCredentials.create()).build());
-            }
-            report(channels.get(channels.size() - 1), "size-" + streams + "-" + i, reports.get(i).build(), waits);
+            report(channels.next(led), ControlSize.node(streams, i), reports.get(i).build(), waits);
         }
         waits.await(60, TimeUnit.SECONDS);
         synchronized (micros) {
@@ -63,7 +58,7 @@
         says.put(Metadata.Key.of(Catalogue.NODE_HEADER, Metadata.ASCII_STRING_MARSHALLER), node);
         Set<BucketId> told = ConcurrentHashMap.newKeySet();
         double began = System.nanoTime() / 1e3;
-        StreamObserver<RateLimitQuotaUsageReports> out = RateLimitQuotaServiceGrpc.newStub(channel)
+        RateLimitQuotaServiceGrpc.newStub(channel)
                 .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(says)).streamRateLimitQuotas(new StreamObserver<>() {
                     @Override
                     public void onNext(RateLimitQuotaResponse r) {
@@ -81,13 +76,11 @@
 
                     @Override
                     public void onCompleted() { }
-                });
-        out.onNext(report);
-        open.add(out);
+                }).onNext(report);
     }
 
     @Override
     public void close() {
-        channels.forEach(ManagedChannel::shutdownNow);
+        channels.close();
     }
 }
--- a/cli/src/main/java/stonelb/cli/ControlMeasure.java
+++ b/cli/src/main/java/stonelb/cli/ControlMeasure.java
@@ -219,15 +219,16 @@
     private void size(Path plot) throws Exception {
         List<Growth.Point> grown = new ArrayList<>();
         for (int streams : new int[] {10, 100, 1000}) {
+            int many = 10 * streams;
             try (Installation led = new Installation(SERVERS, 4, PLANS, 0); ControlSize size = new ControlSize();
                     ControlClinics clinics = new ControlClinics()) {
                 led.control("127.0.0.1:0");
                 ControlSize.Seen s = size.at(led, streams);
-                ControlClinics.Seen c = clinics.at(led, streams, streams * 10, THROUGH, NAMES);
+                ControlClinics.Seen c = clinics.at(led, streams, many, THROUGH, NAMES);
                 double heap = heapMb();
                 out.printf("%d streams: a full push %.0f bytes a stream, one changed endpoint %.0f; %d clinics in %d buckets, "
                         + "%d assigned, all reported at once, 99%% after %.0f ms; heap of the whole process %.0f MB%n", s.streams(),
-                        s.fullBytes(), s.changeBytes(), streams * 10, c.buckets(), c.assigned(), c.p99Ms(), heap);
+                        s.fullBytes(), s.changeBytes(), many, c.buckets(), c.assigned(), c.p99Ms(), heap);
                 figures.put(streams + " streams, full push bytes", s.fullBytes());
                 figures.put(streams + " streams, buckets", c.buckets());
                 figure(streams + " streams, change of full, %", 100 * s.changeBytes() / s.fullBytes(), 1);
--- a/cli/src/main/java/stonelb/cli/ControlSize.java
+++ b/cli/src/main/java/stonelb/cli/ControlSize.java
@@ -4,12 +4,9 @@
 import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
 import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryRequest;
 import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryResponse;
-import io.grpc.InsecureChannelCredentials;
 import io.grpc.ManagedChannel;
-import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -21,7 +18,7 @@
     private static final String TYPES = "type.googleapis.com/envoy.config.";
     private static final String ENDPOINTS = TYPES + "endpoint.v3.ClusterLoadAssignment";
 
-    private final List<ManagedChannel> channels = new ArrayList<>();
+    private final Channels channels = new Channels();
     private final Histogram millis = new Histogram(120_000_000L, 3);
     private final AtomicLong bytes = new AtomicLong();
     private volatile CountDownLatch waits = new CountDownLatch(0);
@@ -31,15 +28,16 @@
     /** What was seen at a size; bytes are of one stream, the time from the change to the answer that acknowledges it. */
     record Seen(int streams, double fullBytes, double changeBytes, double p99Ms, double mostMs) { }
 
+    static String node(int streams, int i) {
+        return "size-" + streams + "-" + i;
+    }
+
     Seen at(Installation led, int streams) throws Exception {
         CountDownLatch all = new CountDownLatch(streams * 4);
         waits = all;
         began = System.nanoTime() / 1e6;
         for (int i = 0; i < streams; i++) {
-            if (i % 100 == 0) {
-                channels.add(NettyChannelBuilder.forAddress("127.0.0.1", led.control().port(), InsecureChannelCredentials.create()).build());
-            }
-            open(channels.get(channels.size() - 1), "size-" + streams + "-" + i);
+            open(channels.next(led), node(streams, i));
         }
         if (!all.await(60, TimeUnit.SECONDS)) {
             throw new java.io.IOException(all.getCount() + " resources did not come within 60 s at " + streams + " streams: " + failure);
@@ -113,7 +111,6 @@
 
     @Override
     public void close() {
-        channels.forEach(ManagedChannel::shutdownNow);
-        channels.clear();
+        channels.close();
     }
 }
--- a/control/src/main/java/stonelb/control/Credentials.java
+++ b/control/src/main/java/stonelb/control/Credentials.java
@@ -10,13 +10,12 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.BasicFileAttributes;
 import java.security.GeneralSecurityException;
 import java.security.PrivateKey;
 import java.security.Signature;
 import java.security.cert.CertificateException;
 import java.security.cert.X509Certificate;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -26,6 +25,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonelb.config.Configuration;
+import stonelb.io.Stamp;
 
 /**
  * Mutual TLS from files that may be replaced while serving: they are looked at every second, and connections made from
@@ -44,14 +44,14 @@
     private final AdvancedTlsX509KeyManager identity = new AdvancedTlsX509KeyManager();
     private final AdvancedTlsX509TrustManager trust;
     private final ServerCredentials server;
-    private List<Object> seen;
+    private List<Stamp> seen;
 
     Credentials(ControlSettings.Tls tls) throws Configuration.Invalid {
         files = tls;
         try {
             trust = AdvancedTlsX509TrustManager.newBuilder()
                     .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION).build();
-            seen = state();
+            seen = stamps();
             take();
             server = TlsServerCredentials.newBuilder().keyManager(identity).trustManager(new AnyIssuer(trust))
                     .clientAuth(TlsServerCredentials.ClientAuth.REQUIRE).build();
@@ -66,7 +66,7 @@
     /** Guards against an exception that would end the looks for good, and against a line a second for one bad file. */
     private void look() {
         try {
-            List<Object> now = state();
+            List<Stamp> now = stamps();
             if (!now.equals(seen)) {
                 seen = now;
                 take();
@@ -77,14 +77,8 @@
         }
     }
 
-    /** What tells that a file was replaced. */
-    private List<Object> state() throws IOException {
-        List<Object> all = new ArrayList<>();
-        for (Path p : List.of(files.certificate(), files.key(), files.clients())) {
-            BasicFileAttributes a = Files.readAttributes(p, BasicFileAttributes.class);
-            all.add(List.of(a.lastModifiedTime(), a.size(), String.valueOf(a.fileKey())));
-        }
-        return all;
+    private List<Stamp> stamps() {
+        return Arrays.asList(Stamp.of(files.certificate()), Stamp.of(files.key()), Stamp.of(files.clients()));
     }
 
     /** All three are read before any is used. Guards against a certificate whose key has not been replaced yet. */
--- a/control/src/test/java/stonelb/control/FollowingTest.java
+++ b/control/src/test/java/stonelb/control/FollowingTest.java
@@ -115,13 +115,7 @@
             assertTrue(asked > bound, asked + " asked tell nothing");
             assertTrue(inSilence >= 1 && served + inSilence <= bound, served + " and " + inSilence + " in the silence, of " + bound);
             rig.fleet.counterSilent = false;
-            Program.until("leases come again", () -> {
-                try {
-                    return rig.ask(p, "ad", "consulta") == 200;
-                } catch (Exception e) {
-                    throw new IllegalStateException(e);
-                }
-            });
+            Program.until("leases come again", () -> rig.ask(p, "ad", "consulta") == 200);
         }
     }
 
--- a/control/src/test/java/stonelb/control/TlsTest.java
+++ b/control/src/test/java/stonelb/control/TlsTest.java
@@ -135,13 +135,8 @@
             Path next = folder.resolve("next.pem");
             Files.copy(folder.resolve("other.pem"), next);
             Files.move(next, list, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-            Program.until("the new authority's are let in", () -> {
-                try {
-                    return ends(rig, "q-1", "p-1").getCode() == Status.Code.PERMISSION_DENIED;
-                } catch (Exception e) {
-                    throw new IllegalStateException(e);
-                }
-            });
+            Program.until("the new authority's are let in",
+                    () -> ends(rig, "q-1", "p-1").getCode() == Status.Code.PERMISSION_DENIED);
             assertEquals(Status.Code.UNAVAILABLE, ends(rig, "p-1", "p-2").getCode());
         }
     }
--- a/control/src/test/java/stonelb/control/quota/FollowerTest.java
+++ b/control/src/test/java/stonelb/control/quota/FollowerTest.java
@@ -188,6 +188,15 @@
             }
         }
 
+        /** Arrivals at the proxies in turn, one every 20 ms, with a check after each. */
+        void traffic(int arrivals, Runnable check) {
+            for (int i = 0; i < arrivals; i++) {
+                run(now + 20);
+                arrive(i % PROXIES);
+                check.run();
+            }
+        }
+
         void report(int i) {
             Proxy p = proxies.get(i);
             if (!p.away) {
@@ -312,21 +321,13 @@
     @Test
     void aSilentCounterLeavesEachProxyItsShare() {
         World w = new World();
+        Runnable asDirect = () -> assertTrue(w.sent() + w.live() <= w.direct() + BURST + PROXIES,
+                () -> "sent " + w.sent() + " live " + w.live() + " directly " + w.direct() + " at " + w.now);
         w.silent = true;
-        for (int i = 0; i < 600; i++) {
-            w.run(w.now + 20);
-            w.arrive(i % PROXIES);
-            assertTrue(w.sent() + w.live() <= w.direct() + BURST + PROXIES,
-                    () -> "sent " + w.sent() + " live " + w.live() + " directly " + w.direct() + " at " + w.now);
-        }
+        w.traffic(600, asDirect);
         assertTrue(w.sent() >= BURST / 2, "something goes on: " + w.sent());
         w.silent = false;
-        for (int i = 0; i < 600; i++) {
-            w.run(w.now + 20);
-            w.arrive(i % PROXIES);
-            assertTrue(w.sent() + w.live() <= w.direct() + BURST + PROXIES,
-                    () -> "sent " + w.sent() + " live " + w.live() + " directly " + w.direct() + " at " + w.now);
-        }
+        w.traffic(600, asDirect);
     }
 
     /** A machine that slept, or a clock set forward by an hour: leases are over, and an hour's quota is not handed out. */
@@ -334,21 +335,13 @@
     void aClockThatJumpsLeavesOneBurst() {
         World w = new World();
         double began = w.now;
-        for (int i = 0; i < 200; i++) {
-            w.run(w.now + 20);
-            w.arrive(i % PROXIES);
-            holds(w, began);
-        }
+        w.traffic(200, () -> holds(w, began));
         w.now += 3_600_000;
         double jumped = w.now;
         double before = w.sent();
         double directly = w.direct();
-        for (int i = 0; i < 300; i++) {
-            w.run(w.now + 20);
-            w.arrive(i % PROXIES);
-            assertTrue(w.sent() - before + w.live() <= bound(w.now - jumped), () -> "sent " + (w.sent() - before)
-                    + " live " + w.live() + " after " + (w.now - jumped));
-        }
+        w.traffic(300, () -> assertTrue(w.sent() - before + w.live() <= bound(w.now - jumped),
+                () -> "sent " + (w.sent() - before) + " live " + w.live() + " after " + (w.now - jumped)));
         assertTrue(w.sent() - before >= (w.direct() - directly) / 2, "the quota goes on: " + (w.sent() - before)
                 + ", directly " + (w.direct() - directly));
     }
@@ -378,10 +371,7 @@
     void anotherServiceThatStartsAgainHandsOutNothingOnTopOfLeasesAlive() {
         World w = new World();
         double began = w.now;
-        for (int i = 0; i < 200; i++) {
-            w.run(w.now + 20);
-            w.arrive(i % PROXIES);
-        }
+        w.traffic(200, () -> { });
         // The service starts again: new instances, the same counter; proxies keep their leases and report what they used.
         List<Server> list = new ArrayList<>();
         for (int i = 1; i <= 6; i++) {
@@ -400,11 +390,8 @@
             p.total = old.get(i).total;
             p.reportedAt = w.now;
         }
-        for (int i = 0; i < 500; i++) {
-            w.run(w.now + 20);
-            w.arrive(i % PROXIES);
-            assertTrue(w.sent() + w.live() <= bound(w.now - began) + BURST, "sent " + w.sent() + " after " + (w.now - began));
-        }
+        w.traffic(500, () -> assertTrue(w.sent() + w.live() <= bound(w.now - began) + BURST,
+                () -> "sent " + w.sent() + " after " + (w.now - began)));
     }
 
     @Test
--- a/core/src/main/java/stonelb/description/DescriptionFile.java
+++ b/core/src/main/java/stonelb/description/DescriptionFile.java
@@ -55,7 +55,7 @@
             try {
                 look(everyMs, swap);
             } catch (InterruptedException | RejectedExecutionException e) {
-                Thread.currentThread().interrupt();   // the loop has ended: nobody is left to be told
+                return;   // the loop has ended: nobody is left to be told
             }
         }, "description");
         thread.setDaemon(true);
--- a/gateway/src/main/java/stonelb/Reload.java
+++ b/gateway/src/main/java/stonelb/Reload.java
@@ -1,19 +1,17 @@
 package stonelb;
 
-import java.io.IOException;
 import java.lang.reflect.Field;
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.BasicFileAttributes;
 import java.util.Map;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import stonelb.config.Configuration;
 import stonelb.io.Log;
+import stonelb.io.Stamp;
 
 /**
  * SIGHUP: the configuration file is read again, by a thread of its own, since to read and check it takes longer than
@@ -31,20 +29,6 @@
     private final boolean signalled;
     private Stamp seen;
 
-    /** What tells one state of a file from another without reading it; {@code key} is its inode where there is one. */
-    private record Stamp(Object key, long modifiedNanos, long bytes) {
-
-        /** The file's stamp, or null where there is none just now. */
-        static Stamp of(String file) {
-            try {
-                BasicFileAttributes a = Files.readAttributes(Path.of(file), BasicFileAttributes.class);
-                return new Stamp(a.fileKey(), a.lastModifiedTime().to(TimeUnit.NANOSECONDS), a.size());
-            } catch (IOException | RuntimeException e) {
-                return null;
-            }
-        }
-    }
-
     /**
      * From here on the signal, which would end the program, is kept until {@link #begin}. Made before the
      * configuration is first read, so that no replacement falls between the two.
@@ -81,7 +65,7 @@
 
     private Stamp stamp() {
         String file = environment.get("PROXY_CONFIG");
-        return file == null ? null : Stamp.of(file);
+        return file == null ? null : Stamp.of(Path.of(file));
     }
 
     /** The signal has come. */
--- a/standins/src/main/java/stonelb/standins/Program.java
+++ b/standins/src/main/java/stonelb/standins/Program.java
@@ -10,9 +10,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 /** The real program, started as its users start it, in a process of its own. */
 public final class Program implements AutoCloseable {
@@ -104,10 +104,16 @@
         return process.exitValue();
     }
 
-    public static void until(String what, BooleanSupplier so) throws InterruptedException {
+    public static void until(String what, Callable<Boolean> so) throws InterruptedException {
         for (int i = 0; i < 3000; i++) {
-            if (so.getAsBoolean()) {
-                return;
+            try {
+                if (so.call()) {
+                    return;
+                }
+            } catch (InterruptedException e) {
+                throw e;
+            } catch (Exception e) {
+                throw new IllegalStateException(what, e);
             }
             Thread.sleep(10);
         }
