Answer queries that come while client links end in a hand-over

At fault: FrontLink.finish, which set `last` on every link, so that received() skipped what came from then on; Front.finish, which ended all links without a read in between. Change: from 2.5 s on a link ends with its next answer, which no query can cross; idle links end a few at a time at 2.9 s, and what has come is read in between; what comes behind an open query is answered. The shutdown hook is there before the first client.

--- a/gateway/src/main/java/stonelb/Main.java
+++ b/gateway/src/main/java/stonelb/Main.java
@@ -27,10 +27,11 @@
         try {
             Server server = new Server(Configuration.read(System.getenv()), OpenApiSettings.read(Path.of(
                     System.getenv().getOrDefault("STONELB_OPENAPI", "deploy/openapi.json"))));
+            // The hook must not return before the hand-over is done: the program ends when it does. It is there before
+            // the first client: a SIGTERM between the two would end the program with queries open.
+            Runtime.getRuntime().addShutdownHook(new Thread(server::handOver, "hand-over"));
             server.start();
             reload.begin(server::reload);
-            // The hook must not return before the hand-over is done: the program ends when it does.
-            Runtime.getRuntime().addShutdownHook(new Thread(server::handOver, "hand-over"));
         } catch (Configuration.Invalid e) {
             fail(e.getMessage());
         } catch (IOException e) {
--- a/gateway/src/main/java/stonelb/Server.java
+++ b/gateway/src/main/java/stonelb/Server.java
@@ -23,9 +23,10 @@
 /** Wires the parts of a gateway together, starts them, and hands over at a planned restart. */
 public final class Server {
     private static final double LONGEST_MS = 3000;  // after SIGTERM: no deadline counts for longer
-    private static final double LEAVE_MS = 100;     // before that: clients go on using the links they have until then
+    private static final double LEAVE_MS = 500;     // before that each link begins to end with its next answer,
+    private static final double IDLE_MS = 100;      // and before that those on which nothing is asked
     private static final double ANSWER_MS = 250;    // over that: all is answered by then, well before SIGKILL
-    private static final double STEP_MS = 20;
+    private static final double STEP_MS = 2;        // in which the loop reads what has come
     private static final int SPARE_SOCKETS = 48;    // of files, discovery, the counter and the loop
 
     private final Configuration config;
@@ -38,6 +39,7 @@
     private Discovery discovery;
     private CounterCalls counter;
     private final List<Front> fronts = new ArrayList<>();
+    private boolean serves;
     private boolean answered;
     private int openApiPort;
 
@@ -66,6 +68,7 @@
                 if (openApi != null) {
                     openApiPort = listen(fronts.get(1), openApi.listen(), "OpenAPI routes");
                 }
+                loop.execute(() -> serves = true);
             }
         } catch (Exception e) {   // a bind fails with an exception that its signature hides
             failed[0] = e;
@@ -129,16 +132,19 @@
 
     /**
      * SIGTERM: goes on serving on the links that there are, since clients led elsewhere at once would find the others
-     * full; then ends the links, answers all it has taken, and ends itself before it is killed.
+     * full; then ends the links, answers all it has taken, and ends itself before it is killed. Before the start is
+     * over nobody has been served, and there is nothing to hand over.
      */
     void handOver() {
         loop.execute(() -> {
+            if (!serves) {
+                over.countDown();
+                return;
+            }
             log.say("hand-over begins, " + core.open() + " queries open");
             double began = loop.now();
-            loop.timers().after(longestMs() - LEAVE_MS, (now, token) -> {
-                fronts.forEach(Front::stopListening);
-                leave(began);
-            }, 0);
+            loop.timers().after(longestMs() - LEAVE_MS, (now, token) -> fronts.forEach(Front::leave), 0);
+            loop.timers().after(longestMs() - IDLE_MS, (now, token) -> end(began), 0);
         });
         try {
             over.await((long) (LONGEST_MS + 2 * ANSWER_MS), TimeUnit.MILLISECONDS);
@@ -152,18 +158,19 @@
         return Math.min(LONGEST_MS, config.deadlinesMs().stream().mapToDouble(d -> d).max().orElse(LONGEST_MS));
     }
 
-    private void leave(double began) {
-        fronts.forEach(Front::finish);
-        if (!answered && loop.now() - began > longestMs() + ANSWER_MS) {
+    private void end(double began) {
+        boolean late = loop.now() - began > longestMs() + ANSWER_MS;
+        if (late && !answered) {
             answered = true;
             log.say("hand-over: " + core.open() + " queries are answered unserved");
             core.finishAll();
         }
+        fronts.forEach(f -> f.finishIdle(late));
         if (fronts.stream().allMatch(Front::empty)) {
             log.say("hand-over done");
             over.countDown();
         } else {
-            loop.timers().after(STEP_MS, (now, token) -> leave(began), 0);
+            loop.timers().after(STEP_MS, (now, token) -> end(began), 0);
         }
     }
 }
--- a/gateway/src/main/java/stonelb/front/Front.java
+++ b/gateway/src/main/java/stonelb/front/Front.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import stonelb.core.Core;
 import stonelb.core.Timers;
@@ -20,6 +21,7 @@
     private static final double IDLE_MS = 2200;         // with no open query: such a link may be closed after 2 s
     private static final double QUIET_MS = 30_000;      // the same while there is plenty of room
     private static final double YOUNG_MS = 250;         // one that has said nothing yet may still be on its way
+    private static final int SHARE = 64;                // a part so large of the links may end at a time
     private static final long MOST_BYTES = 12L << 20;   // of requests held, of the 48 MB heap
 
     private static final long MOST_UNREAD = 8L << 20;   // of messages that are not whole
@@ -34,6 +36,7 @@
     private final Set<FrontLink> idle = new LinkedHashSet<>();      // have asked and have nothing open, longest first
     private final Set<FrontLink> ending = new LinkedHashSet<>();
     private Channel listener;
+    private boolean leaving;   // each link ends with its next answer
     private long bytes;
     private long unread;
 
@@ -170,14 +173,40 @@
         }
     }
 
-    /** No new connections. */
-    public final void stopListening() {
+    /**
+     * No new connections, and each link ends with its next answer. What has come by now is read first: to close a
+     * listener resets connections that it has not accepted, and to end a link loses what it has not read.
+     */
+    public final void leave() {
+        leaving = true;
         listener.close();
     }
 
-    /** Every link ends once nothing is owed on it. */
-    public final void finish() {
-        new ArrayList<>(links).forEach(FrontLink::finish);
+    final boolean leaving() {
+        return leaving;
+    }
+
+    /**
+     * Ends links on which nothing is owed, longest idle first and few at a time. Guards against a query that comes
+     * while others are ended: between two calls all input that has come is read, and its link is idle no more. Part
+     * of a message may become whole until {@code all} are to end.
+     */
+    public final void finishIdle(boolean all) {
+        int most = all ? links.size() : 1 + links.size() / SHARE;
+        for (FrontLink link : resting()) {
+            if (most > 0 && (all || !link.within())) {
+                most--;
+                idle.remove(link);
+                unheard.remove(link);
+                link.finish();
+            }
+        }
+    }
+
+    private List<FrontLink> resting() {
+        List<FrontLink> resting = new ArrayList<>(idle);
+        resting.addAll(unheard);
+        return resting;
     }
 
     public final boolean empty() {
--- a/gateway/src/main/java/stonelb/front/FrontLink.java
+++ b/gateway/src/main/java/stonelb/front/FrontLink.java
@@ -141,7 +141,10 @@
         boolean full = order.size() >= MOST_WAITING;
         ByteBuf out = buffer(512);
         while (!order.isEmpty() && order.peek().ready()) {
-            order.poll().writeAnswer(out);
+            Slot slot = order.poll();
+            // An end that goes out with an answer crosses no query: the client has sent none since.
+            last |= front.leaving() && order.isEmpty() && in.size() == 0 && !within();
+            slot.writeAnswer(out);
         }
         send(out).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         if (full && !last) {
@@ -188,9 +191,9 @@
         }
     }
 
-    /** Ends the link once nothing is owed on it. */
+    /** Ends a link on which nothing is owed; what has come on it and is not whole was never taken. */
     final void finish() {
-        last = true;
+        last |= order.isEmpty();
         endIfLast();
     }
 
