Take counts that outlive a counter's silence for kept, and claim units of unanswered calls

A probe that says why each try is refused: 23.876 quota centro width 9 rate 2 held 1 store -51.57 known, not silent, due in 25756 ms 18.178 quota centro width 9 rate 2 held 1 store -42.65 known, not silent, due in 14391 ms A spent store goes no deeper than one booked unit a gateway, here -9. At fault: Customer.learn, which after any silence took the counter for emptied, so that a total that was kept (8 + 2 a second for 20 s) looked like a debt; and Customer.counted, by which a unit that a call without an answer had added under a ceiling was never used by anyone. Ruled out: slots (1 to 2% of the refusals there), the counter's load after the silence. Change: a total that has not fallen is read as before the silence; a debt deeper than bookings can be means that the counts were kept. Units of unanswered calls are claimed by the next total that shows them.

--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -282,10 +282,7 @@
     }
 
     private void finish(Req q) {
-        open.remove(q.r.id());
-        if (q.out > 0) {
-            closing.put(q.r.id(), q);
-        }
+        withdrawn(0, q.r.id()); // what is still out is waited for, and nothing else is owed
         if (mayRefuse(q)) {
             refuse(q, set.allowed().maxRetryAfterMs() / 2);
         } else {
@@ -495,7 +492,7 @@
         double posted, postAt;
         double held;                  // leased and not spent; below 0: sent on credit
         double dueAt, expired;        // what is held may be spent then; the call out lets so much expire
-        double store, seen;           // what the counter's last total left for all, and that total
+        double store, seen, unsure;   // the last total left so much; that total; by calls unanswered
         double storeAt = Double.NEGATIVE_INFINITY, refreshedAt;
         double spentAt = Double.NEGATIVE_INFINITY;    // when an answer last found the store spent
         final ArrayDeque<Boolean> calls = new ArrayDeque<>();   // out under this name: which one asks
@@ -588,7 +585,7 @@
                 }
                 if (mayAsk && !calling) {
                     turn(now);
-                    call(now, units - held);
+                    call(now, Math.max(0, units - held - unsure));
                 }
                 return mayAsk ? -1 : alone;
             }
@@ -699,8 +696,7 @@
                 name = mix(mix(key) + index * 0x9e3779b97f4a7c15L);
                 byName.put(name, this);
                 known = known && now - storeAt < windowMs();
-                seen = 0;
-                posted = 0;
+                seen = posted = unsure = 0;
                 calls.clear();
                 expired = 0;
             }
@@ -740,7 +736,7 @@
             }
             turn(now);
             block = Math.max(least, soon);
-            call(now, spent || tally.silent() ? 0 : amount); // a try that is likely refused only reads
+            call(now, spent || tally.silent() ? 0 : Math.max(0, amount - unsure)); // likely refused: reads
             return true;
         }
 
@@ -759,7 +755,8 @@
             refresh(now);
             if (how == Outcome.TIMEOUT || how == Outcome.RESET) {
                 // As added: a crowded counter still works on it, and a spoilt answer came of it. Danger:
-                // under a ceiling it pays a debt and leases nothing, as nobody said that the store held it.
+                // under a ceiling it pays a debt and leases nothing until a total shows that it was added.
+                unsure += guarded ? Math.max(0, mine + Math.min(held, 0)) : 0;
                 held = guarded ? Math.min(held + mine, Math.max(held, 0)) : held + mine;
                 others = plan.maxOut();
             } else if (how == Outcome.OK && called == name && posts()) {
@@ -776,9 +773,13 @@
 
         private void learn(double now, double mine, double total) {
             double theirs = total - seen - mine;
-            seen = 0;
-            if (!known || storeAt < tally.emptiedAt) {
+            held += Math.max(0, mine) + Math.max(0, Math.min(unsure, theirs)); // what goes back left earlier
+            seen = unsure = 0;
+            if (!known || storeAt < tally.emptiedAt && theirs < 0) {
                 double age = Math.min(windowAge(now), now - tally.emptiedAt);
+                // Danger: counts that outlive a silence look like a debt of all that their window has seen.
+                // An emptied store goes no deeper than what each gateway books on it.
+                age = quotaBurst + rate() * age / 1000 - total < -width * tries ? windowAge(now) : age;
                 store = quotaBurst + rate() * age / 1000;
                 // Danger: where the last window ended with a burst, this one would begin with another.
                 store = (guarded ? Math.min(store, plan.ceilingRate() * age / 1000) : store) - total + mine;
@@ -796,7 +797,6 @@
             spentAt = store < 0 ? now : spentAt;
             known = true;
             seen += total;
-            held += Math.max(0, mine); // what goes back left the lease when the call did
             if (sparse() && store < 0) { // debts end with the window
                 dueAt += Math.min(windowMs() - windowAge(now), -store / rate() * 1000);
             }
--- a/decision/src/test/java/lichenbeam/LeaseTest.java
+++ b/decision/src/test/java/lichenbeam/LeaseTest.java
@@ -11,6 +11,7 @@
 
 /** Leased blocks of quota on the counter. */
 class LeaseTest {
+    private static final Gateway.Plan CEILED = new Gateway.Plan(2, 8, 0, 4.7, 19, 1, 0, 1);
 
     private static Script script(double rate, double burst) {
         return new Script(Script.SAFE, Script.rate(rate, burst)).servers(10);
@@ -121,6 +122,72 @@
     }
 
     /** Guards against booked units that lie at all gateways beside a full store, and break a ceiling at once. */
+    /**
+     * Guards against calls of a crowded counter that are added and never spent: the totals would say that a customer
+     * has used its quota long before it has.
+     */
+    @Test
+    void underACeilingWhatAnUnansweredCallAddedIsTakenByTheNextTry() {
+        Script s = new Script(Script.SAFE, CEILED, 0, 10).servers(10);
+        s.request(1, 5, 9);
+        assertEquals(1, s.lastAmount());
+        s.counted(Outcome.TIMEOUT);
+        assertEquals(0, s.sent(), "nobody has said that the store holds it");
+        s.request(1, 5, 9);
+        assertEquals(0, s.lastAmount(), "it is on the counter");
+        s.counted(1);
+        assertEquals(1, s.sent());
+    }
+
+    /**
+     * Guards against a counter that comes back from a silence with its counts, which would pass for one that was
+     * emptied and has given out all of them since: busy customers would be refused for the rest of their window.
+     */
+    @Test
+    void countsThatOutliveASilenceAreNoDebt() {
+        Script s = new Script(Script.SAFE, CEILED, 0, 10).servers(10);
+        silence(s);
+        s.pass(4000).request(1, 6, 9);
+        s.counted(0);
+        assertPasses(s, 5, 20);
+    }
+
+    /** The same where a gateway knows the customer, and the debt is not too deep to be one. */
+    @Test
+    void aTotalThatHasNotFallenInASilenceIsNotAnEmptiedOne() {
+        for (long customer = 5; ; customer++) {
+            Script s = new Script(Script.SAFE, CEILED, 0, 10).servers(10);
+            s.request(1, customer, 9);
+            s.counted(12);
+            if (s.count("add") == 1) {   // its window is young: nothing expired
+                s.counted(Outcome.TIMEOUT).counted(Outcome.TIMEOUT).pass(4000).request(1, 1, 9);
+                s.counted(0);
+                assertPasses(s, customer, 0);
+                return;
+            }
+        }
+    }
+
+    private static void assertPasses(Script s, long customer, double others) {
+        long before = s.sent();
+        s.request(1, customer, 9);
+        s.counted(others);
+        assertEquals(before + 1, s.sent());
+    }
+
+    @Test
+    void underACeilingACallThatWasLostLeasesNothing() {
+        Script s = new Script(Script.SAFE, CEILED, 0, 10).servers(10);
+        s.request(1, 5, 9);
+        s.counted(Outcome.TIMEOUT);
+        s.request(1, 5, 9);
+        s.counted(0);
+        assertEquals(0, s.sent());
+        assertEquals(1, s.lastAmount(), "the total shows that it was not added");
+        s.counted(0).counted(0);   // also what expired has its answer
+        assertEquals(1, s.sent());
+    }
+
     @Test
     void bookedUnitsThatWaitedUntilTheStoreIsFullLapse() {
         List<Script> fleet = fleet(new Gateway.Plan(1, 4, 0, 2, 8, 1, 0, 1), 4);
