Start with no zones, or with others than the settings name

Seen by a test: "azs": null ended the start with a ClassCastException's words, an entry with "zone": null made the whole list invalid, and each zone that the settings do not name counted as the first one, so that two servers in different zones passed for one where repeats depend on it. At fault: Configuration.read (getAsJsonArray of a null), HostGroup.read (indexOf, at least 0). Change: no zones are an empty list; a zone not named gets a number of its own. ZonesTest fails without it.

--- a/core/src/main/java/stonelb/config/Configuration.java
+++ b/core/src/main/java/stonelb/config/Configuration.java
@@ -63,9 +63,7 @@
             deadlines.add(Json.number(e.getAsJsonObject(), "deadlineMs", 0));
         }
         List<String> zones = new ArrayList<>();
-        if (set.has("azs")) {
-            set.getAsJsonArray("azs").forEach(z -> zones.add(z.getAsString()));
-        }
+        Json.array(set, "azs").forEach(z -> zones.add(z.getAsString()));
         JsonObject allowed = Json.object(set, "allowed");
         JsonElement counter = root.get("counter");
         String seed = text(root, env, "seed", "", "0");
--- a/core/src/main/java/stonelb/discovery/HostGroup.java
+++ b/core/src/main/java/stonelb/discovery/HostGroup.java
@@ -34,7 +34,7 @@
         void only(Set<Long> servers);
     }
 
-    private final List<String> zones;
+    private final List<String> zones;   // the settings' own first, then others as the lists name them
     private final Members members;
     private final Places places;
     private final Map<String, Long> ids = new HashMap<>();   // of those that have not gone
@@ -42,7 +42,7 @@
     private long version = -1;
 
     public HostGroup(List<String> zones, Members members, Places places) {
-        this.zones = zones;
+        this.zones = new ArrayList<>(zones);
         this.members = members;
         this.places = places;
     }
@@ -108,9 +108,8 @@
                 InetSocketAddress address = address(o);
                 moves.add(() -> places.host(id, name, address, phase == Phase.READY, since));
             }
-            int zone = o.has("zone") ? Math.max(0, zones.indexOf(o.get("zone").getAsString())) : 0;
             servers.add(new Server(id, phase, since, Json.number(o, "weight", 1),
-                    (int) Json.number(o, "group", 0), zone));
+                    (int) Json.number(o, "group", 0), zone(Json.text(o, "zone"))));
         }
         version = (long) Json.number(list, "index", -1);
         // Nothing is taken of a list that does not read whole.
@@ -127,6 +126,17 @@
         return version;
     }
 
+    /** Guards against lists that tell no zone, or more than the settings name: what is not the same gets no one number. */
+    private int zone(String name) {
+        if (name == null) {
+            return 0;
+        }
+        if (!zones.contains(name)) {
+            zones.add(name);
+        }
+        return zones.indexOf(name);
+    }
+
     private static InetSocketAddress address(JsonObject o) throws Malformed {
         try {
             return Configuration.address("address", text(o, "address"));
