Keep the slots at their start value at least, and never read a silence as a second burst

At fault: Slots.adjust, whose floor of 4 slots a server divided by the gateways is 2.4 with no allowance for chance, though the start value has one. Change: the floor is the start value, 3 slots a server with twice the root for chance (one constant less); after a silence a debt deeper than bookings can be counts as a store just spent, no more.

--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -16,8 +16,7 @@
     private static final double TICK_MS = 50;         // between looks at limits, silence and idle claims
     private static final int TIERS = 3;               // bands of class worth x plan price, at most
     private static final int GRID = 40;               // splits are tried in steps of n / GRID slots
-    private static final double START_SLOTS = 3;      // mean slots a server at the start, over all gateways
-    private static final double FLOOR_SLOTS = 4;      // and the least that strain may leave
+    private static final double START_SLOTS = 3;      // mean slots a server at the start, and the least ever
     private static final double STRAINED = 0.35;      // of its aim: an answer this slow shows strain
     private static final double STEP_MS = 250, STEP_ANSWERS = 4; // n changes no more often, on as many
     private static final double WINDOWS = 10;         // a counter name lasts this many times burst / rate,
@@ -421,7 +420,7 @@
             // Danger: with a zone lost, its slots would crowd the servers left until their answers show it.
             n *= capacity > 0 && reached > 0 ? reached / capacity : 1;
             capacity = reached > 0 ? reached : capacity;
-            double least = Math.max(1, FLOOR_SLOTS * servers / gateways);
+            double least = Math.max(1, withChance(START_SLOTS * servers / gateways));
             peak = Math.max(peak, total);
             if (now - changedAt >= STEP_MS && answers >= STEP_ANSWERS) {
                 if (slow > 0.15 * answers + Math.sqrt(0.15 * answers)) { // few answers decide little
@@ -777,12 +776,12 @@
             seen = unsure = 0;
             if (!known || storeAt < tally.emptiedAt && theirs < 0) {
                 double age = Math.min(windowAge(now), now - tally.emptiedAt);
-                // Danger: counts that outlive a silence look like a debt of all that their window has seen.
-                // An emptied store goes no deeper than what each gateway books on it.
-                age = quotaBurst + rate() * age / 1000 - total < -width * tries ? windowAge(now) : age;
                 store = quotaBurst + rate() * age / 1000;
                 // Danger: where the last window ended with a burst, this one would begin with another.
                 store = (guarded ? Math.min(store, plan.ceilingRate() * age / 1000) : store) - total + mine;
+                // Danger: counts that outlive a silence look like a debt of all that their window has seen.
+                // An emptied store goes no deeper than what each gateway books on it: this one is just spent.
+                store = age < windowAge(now) && store < -width * tries ? 0 : store;
                 // Danger: units unused since the window began pile up past the burst. They expire.
                 if (plan.rate() > 0 && store > 1.5 * quotaBurst) {
                     expired = store - quotaBurst;
