Let a client link end only when its socket has taken all its answers

Need: at a planned restart a link ends with its next answer. FrontLink.flush handed the answer to the channel and called shutdownOutput in the same step (endIfLast); what the socket had not taken by then is dropped by the channel when its sending side ends, so the client sees a cut answer and an end. The same holds for the answers before a complaint about malformed input. Change: a link counts the writes that the socket has not taken and ends after the last of them.

--- a/gateway/src/main/java/stonelb/front/FrontLink.java
+++ b/gateway/src/main/java/stonelb/front/FrontLink.java
@@ -1,6 +1,7 @@
 package stonelb.front;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
@@ -10,7 +11,7 @@
 import stonelb.io.Malformed;
 
 /** A client link: one client's connection to a front. Answers leave in the order of what was asked on it. */
-public abstract class FrontLink extends Connection {
+public abstract class FrontLink extends Connection implements ChannelFutureListener {
     private static final int MOST_BYTES = 256 * 1024;
     private static final int MOST_WAITING = 512;   // asked and unanswered; more is read once some are answered
 
@@ -32,6 +33,7 @@
     private final Front front;
     private final ArrayDeque<Slot> order = new ArrayDeque<>();
     private boolean last;   // nothing more is read: it closes after its answers
+    private int writing;    // answers handed over that the socket has not taken yet
     private double restsSince;     // of being up, or of the last answer
     private double partSince = -1; // a message has begun and is not whole, or below 0
     private int unread;            // bytes that the front counts as held for it
@@ -146,7 +148,6 @@
             last |= front.leaving() && order.isEmpty() && in.size() == 0 && !within();
             slot.writeAnswer(out);
         }
-        send(out).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         if (full && !last) {
             front.later(this);
         }
@@ -154,7 +155,19 @@
             restsSince = front.now();
             front.rests(this);
         }
-        endIfLast();
+        writing++;
+        send(out).addListener(this);
+    }
+
+    /** The socket has taken what was written, or never will. */
+    @Override
+    public final void operationComplete(ChannelFuture write) {
+        writing--;
+        if (write.isSuccess()) {
+            endIfLast();
+        } else {
+            close();
+        }
     }
 
     /** Reads what waited for its turn. */
@@ -197,8 +210,9 @@
         endIfLast();
     }
 
+    /** Guards against the end of a link whose client reads slowly: to end its sending drops what is not written yet. */
     private void endIfLast() {
-        if (last && order.isEmpty() && isOpen()) {
+        if (last && order.isEmpty() && writing == 0 && isOpen()) {
             // The sending side first: to close with input unread would reset answers on their way.
             ((DuplexChannel) channel()).shutdownOutput();
             front.closeSoon(this);
--- a/gateway/src/test/java/stonelb/HandOverTest.java
+++ b/gateway/src/test/java/stonelb/HandOverTest.java
@@ -129,4 +129,18 @@
             assertEquals(-1, asks.in.read());
         }
     }
+
+    /** Guards against an answer cut short: the link ends with it, and its client reads more slowly than it is written. */
+    @Test
+    void anAnswerThatTheSocketTakesInPartsIsWholeBeforeTheLinkEnds() throws Exception {
+        byte[] large = new byte[32 << 20];   // more than the buffers of both sockets hold
+        try (Client client = met()) {
+            ask(client, "1");
+            Attempt first = sent.poll(20, TimeUnit.SECONDS);
+            onLoop(front::leave);
+            onLoop(() -> core.ended(first, Gateway.Outcome.OK, (RespReply) () -> large));
+            assertEquals(large.length, Peer.resp(client.in).length());
+            assertEquals(-1, client.in.read(), "it ends with its last answer");
+        }
+    }
 }
