Never read on a client link that has ended, nor reuse a server link before its input is read

Two races of a loop that is late, on a small share of a core.

A query that crosses the end of its link is sent once more if the gateway has not read it; FrontLink.received read it all the same (in.skip where last). Now a link that has ended is not read; only behind malformed input it still is, so that the complaint is not reset. 2. A server link rested 10 ms after an answer, so that a second answer is read as surplus. Now the loop reads once between the end of the rest, or of the settling, and the use of the link.

--- a/gateway/src/main/java/stonelb/front/FrontLink.java
+++ b/gateway/src/main/java/stonelb/front/FrontLink.java
@@ -32,7 +32,9 @@
 
     private final Front front;
     private final ArrayDeque<Slot> order = new ArrayDeque<>();
-    private boolean last;   // nothing more is read: it closes after its answers
+    private boolean last;   // nothing more is answered: it closes after its answers
+    private boolean ended;  // its sending side has
+    private boolean spoilt; // by what its client sent
     private int writing;    // answers handed over that the socket has not taken yet
     private double restsSince;     // of being up, or of the last answer
     private double partSince = -1; // a message has begun and is not whole, or below 0
@@ -181,10 +183,14 @@
         }
     }
 
-    /** Guards against a client that asks without reading: nothing more is read until it does. */
+    /**
+     * Guards against a client that asks without reading: nothing more is read until it does. And against a query that
+     * crosses the end of its link: its client sends it once more if it was not read here, and waits in vain if it was.
+     * Behind spoilt input there are no queries, and it is read, so that the complaint is not reset.
+     */
     private void flow() {
         if (isOpen()) {
-            channel().config().setAutoRead(order.size() < MOST_WAITING && channel().isWritable());
+            channel().config().setAutoRead(ended ? spoilt : order.size() < MOST_WAITING && channel().isWritable());
         }
     }
 
@@ -199,6 +205,7 @@
         log.warn("client sent malformed input", why);
         if (!last) {
             last = true;
+            spoilt = true;
             in.skip(in.size());
             answer(complaint(why));
         }
@@ -212,9 +219,11 @@
 
     /** Guards against the end of a link whose client reads slowly: to end its sending drops what is not written yet. */
     private void endIfLast() {
-        if (last && order.isEmpty() && writing == 0 && isOpen()) {
+        if (last && !ended && order.isEmpty() && writing == 0 && isOpen()) {
             // The sending side first: to close with input unread would reset answers on their way.
             ((DuplexChannel) channel()).shutdownOutput();
+            ended = true;
+            flow();
             front.closeSoon(this);
         }
     }
--- a/gateway/src/main/java/stonelb/server/ServerLink.java
+++ b/gateway/src/main/java/stonelb/server/ServerLink.java
@@ -28,6 +28,7 @@
     private double idleSince;
     private double idledMs = -1;   // before the attempt that is out; below 0 for the first
     private boolean settled;
+    private boolean looking;   // its wait is over, and what came meanwhile is being read
     private boolean used;
 
     ServerLink(Pool pool, Log log) {
@@ -98,13 +99,19 @@
         pool.ended(a, how, reply);
     }
 
-    /** It has settled or rested, and nothing came: surplus would be taken for the next answer. */
+    /**
+     * It has settled or rested, and nothing came: surplus would be taken for the next answer. Guards against a loop so
+     * late that the timer runs before what came in time is read: between two timers the loop reads all that has come.
+     */
     @Override
     public final void due(double now, long token) {
         if (!isOpen()) {
             return;   // told by closed()
         }
-        if (settled) {
+        looking = !looking;
+        if (looking) {
+            pool.after(0, this);
+        } else if (settled) {
             pool.free(this);
         } else {
             settled = true;
--- a/gateway/src/test/java/stonelb/HandOverTest.java
+++ b/gateway/src/test/java/stonelb/HandOverTest.java
@@ -1,7 +1,9 @@
 package stonelb;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -143,4 +145,35 @@
             assertEquals(-1, client.in.read(), "it ends with its last answer");
         }
     }
+
+    /** Guards against a query that is read, and thrown away, while its link ends: what is not read resets the link. */
+    @Test
+    void aQueryThatCrossesTheEndOfItsLinkIsNotRead() throws Exception {
+        try (Client client = met()) {
+            ask(client, "1");
+            Attempt first = sent.poll(20, TimeUnit.SECONDS);
+            onLoop(front::leave);
+            CompletableFuture<Void> crossed = new CompletableFuture<>();
+            CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
+                core.ended(first, Gateway.Outcome.OK, (RespReply) "value"::getBytes);
+                crossed.join();
+            }, loop::execute);
+            assertEquals("value", Peer.resp(client.in));
+            ask(client, "2");
+            crossed.complete(null);
+            ended.get(20, TimeUnit.SECONDS);
+            CompletableFuture<Void> empty = new CompletableFuture<>();
+            loop.execute(() -> whenEmpty(empty));
+            empty.get(20, TimeUnit.SECONDS);
+            assertThrows(IOException.class, () -> client.write("x"), "its unread query has reset the link");
+        }
+    }
+
+    private void whenEmpty(CompletableFuture<Void> then) {
+        if (front.empty()) {
+            then.complete(null);
+        } else {
+            loop.timers().after(1, (now, token) -> whenEmpty(then), 0);
+        }
+    }
 }
