Take new links until the last moment of a hand-over, for queries that come again

A query that crosses the end of its link comes again on a new one, and Front.leave had closed the listener half a second before the links: the port was closed to it. Such queries count as refused and, where there are many, as lost. Change: the listener is closed when all links have to end, not when the first may. Result: a test of a query that comes on a new link after its old one ended; without the change the connection is refused.

--- a/gateway/src/main/java/stonelb/front/Front.java
+++ b/gateway/src/main/java/stonelb/front/Front.java
@@ -173,10 +173,9 @@
         }
     }
 
-    /** No new connections, and each link ends with its next answer. */
+    /** Each link ends with its next answer. New ones are still taken: a query that crosses such an end comes again. */
     public final void leave() {
         leaving = true;
-        listener.close();
     }
 
     final boolean leaving() {
@@ -186,9 +185,12 @@
     /**
      * Ends links on which nothing is owed, longest idle first and few at a time. Guards against a query that comes
      * while others are ended: between two calls all input that has come is read, and its link is idle no more. Part
-     * of a message may become whole until {@code all} are to end.
+     * of a message may become whole, and new links come, until {@code all} are to end.
      */
     public final void finishIdle(boolean all) {
+        if (all) {
+            listener.close();
+        }
         int most = all ? links.size() : 1 + links.size() / SHARE;
         List<FrontLink> resting = new ArrayList<>(idle);
         resting.addAll(unheard);
--- a/gateway/src/test/java/stonelb/HandOverTest.java
+++ b/gateway/src/test/java/stonelb/HandOverTest.java
@@ -169,6 +169,24 @@
         }
     }
 
+    /** Guards against a closed port for a query that crossed the end of its link, and that its client sends again. */
+    @Test
+    void aQueryThatComesAgainOnANewLinkIsAnswered() throws Exception {
+        try (Client client = met()) {
+            onLoop(() -> {
+                front.leave();
+                front.finishIdle(false);
+            });
+            assertEquals(-1, client.in.read());
+            try (Client again = new Client(port)) {
+                ask(again, "1");
+                serve(sent.poll(20, TimeUnit.SECONDS));
+                assertEquals("value", Peer.resp(again.in));
+                assertEquals(-1, again.in.read(), "it ends with its answer");
+            }
+        }
+    }
+
     private void whenEmpty(CompletableFuture<Void> then) {
         if (front.empty()) {
             then.complete(null);
