Ask the gateway's own agent again within half a second, however large the fleet is

Cause: after a failure a watch pauses for a span that doubles up to half a second for each gateway (Watch.pauseMs), so that a discovery that all share is not kept down. Where changes are pushed, discovery is an agent on the gateway's own machine, which answers at once and at no cost; what it is sent counts as told even while the gateway stays away. With 100 gateways seven refused calls are enough for a pause of up to 12.8 s, in which a plan server that begins to drain goes on getting work; the grace is 1 s. Change: the span counts the gateways that ask one discovery: all where it must be asked, one where it is pushed. Result: a test of the pauses after up to 100 failures at 200 gateways; it fails where all are counted. mvn -B verify green.

--- a/core/src/main/java/stonelb/discovery/Discovery.java
+++ b/core/src/main/java/stonelb/discovery/Discovery.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
+import lichenbeam.Gateway.Settings;
 import stonelb.io.Log;
 import stonelb.io.Loop;
 
@@ -18,15 +19,24 @@
     private Watch watch;
     private Watch next;   // at the new address, without a list yet; or null
 
-    /** {@code gateways} may ask it as well; {@code seed} sets their pauses apart. */
-    public Discovery(Loop loop, Log log, HostGroup group, int gateways, long seed) {
+    /** {@code seed} sets the pauses of gateways apart. */
+    public Discovery(Loop loop, Log log, HostGroup group, Settings settings, long seed) {
         this.loop = loop;
         this.log = log;
         this.group = group;
-        this.gateways = gateways;
+        gateways = asking(settings);
         random = new SplittableRandom(seed);
     }
 
+    /**
+     * How many gateways ask one discovery. Where changes are pushed it is an agent on the gateway's own machine, which
+     * nobody else asks. Guards against a pause of the length that a shared one needs: what the agent is sent counts as
+     * told at once, and a plan server that drains gets new work for as long as the gateway stays away.
+     */
+    static int asking(Settings settings) {
+        return settings.mustSubscribe() ? settings.gateways() : 1;
+    }
+
     public void begin(InetSocketAddress at) {
         watch = new Watch(loop, log, at, group, group.version(), gateways, random, () -> { });
         watch.begin();
--- a/core/src/test/java/stonelb/discovery/PauseTest.java
+++ b/core/src/test/java/stonelb/discovery/PauseTest.java
@@ -1,13 +1,18 @@
 package stonelb.discovery;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.SplittableRandom;
+import lichenbeam.Gateway.Settings;
 import org.junit.jupiter.api.Test;
 
 /** How long a gateway leaves a discovery alone that has failed it. */
 class PauseTest {
     private static final int[] FLEETS = {1, 14, 200};
+    private static final double DRAIN_MS = 1000;     // in which sends to a plan server that drains have to cease
+    private static final double CONNECT_MS = 250;    // until a connection that does not come up is given up
 
     /** Gateways that all fail at once and for good: the calls of the whole fleet in a second, after some time. */
     private static double callsPerSecond(int gateways) {
@@ -46,4 +51,19 @@
         }
         assertTrue(most - least > 400, "all pauses lie between " + least + " and " + most);
     }
+
+    /** Guards against a gateway that stays away from the agent on its own machine while plan servers drain. */
+    @Test
+    void fromItsOwnAgentAGatewayStaysAwayForLessThanADrainAllows() {
+        SplittableRandom random = new SplittableRandom(9);
+        for (int failures = 0; failures < 100; failures++) {
+            double pause = Watch.pauseMs(failures, Discovery.asking(settings(false)), random);
+            assertTrue(pause < DRAIN_MS - CONNECT_MS, "after " + failures + " failures it stays away for " + pause);
+        }
+        assertEquals(200, Discovery.asking(settings(true)), "one that all gateways ask is spared");
+    }
+
+    private static Settings settings(boolean onRequest) {
+        return new Settings(200, List.of(), List.of(), null, null, null, 2, onRequest, false, 1);
+    }
 }
--- a/gateway/src/main/java/stonelb/Server.java
+++ b/gateway/src/main/java/stonelb/Server.java
@@ -113,7 +113,7 @@
         if (openApi != null) {
             fronts.add(new OpenApiFront(loop, log, core, config, openApi, 2 * part));
         }
-        discovery = new Discovery(loop, log, group, config.settings().gateways(), config.seed());
+        discovery = new Discovery(loop, log, group, config.settings(), config.seed());
         discovery.begin(config.discovery());
     }
 
