Time the hand-over from the signal on, not from when a busy loop learns of it

Ruled out: a lost timer and a dead loop (no internal error, other gateways as late ended as planned), queries read and thrown away (none here). Change: the time is taken in the signal's own thread; the schedule has a class of its own, HandOver, which counts from then. Whether a configuration changes what needs a restart is found by the thread that read it, not the loop. Result: a test in which the loop learns of the signal 3.3 s late; with the old line the open query gets no answer.

--- /dev/null
+++ b/gateway/src/main/java/stonelb/HandOver.java
@@ -0,0 +1,65 @@
+package stonelb;
+
+import java.util.List;
+import stonelb.core.Core;
+import stonelb.front.Front;
+import stonelb.io.Log;
+import stonelb.io.Loop;
+
+/**
+ * A planned restart: goes on serving on the links that there are, since clients led elsewhere at once would find the
+ * others full; then ends the links, answers all that was taken, and is over before the program is killed.
+ */
+final class HandOver {
+    static final long MOST_MS = 3500;               // the program ends then, whatever is left
+    private static final double LONGEST_MS = 3000;  // after SIGTERM: no deadline counts for longer
+    private static final double LEAVE_MS = 500;     // before that each link begins to end with its next answer,
+    private static final double IDLE_MS = 100;      // and before that those on which nothing is asked
+    private static final double ANSWER_MS = 250;    // over that: all is answered by then, well before SIGKILL
+    private static final double STEP_MS = 2;        // in which the loop reads what has come
+
+    private final Loop loop;
+    private final Log log;
+    private final Core core;
+    private final List<Front> fronts;
+    private final double longestMs;   // how long the longest query may still be out
+    private final Runnable over;
+    private double asked;
+    private boolean answered;
+
+    HandOver(Loop loop, Log log, Core core, List<Front> fronts, List<Double> deadlinesMs, Runnable over) {
+        this.loop = loop;
+        this.log = log;
+        this.core = core;
+        this.fronts = fronts;
+        longestMs = Math.min(LONGEST_MS, deadlinesMs.stream().mapToDouble(d -> d).max().orElse(LONGEST_MS));
+        this.over = over;
+    }
+
+    /**
+     * All times count from {@code at}, when the signal came. Guards against a loop that was busy then, as with a new
+     * configuration: counted from here on, the last answers would come after SIGKILL.
+     */
+    void begin(double at) {
+        asked = at;
+        log.say("hand-over begins, " + core.open() + " queries open");
+        loop.timers().at(asked + longestMs - LEAVE_MS, (now, token) -> fronts.forEach(Front::leave), 0);
+        loop.timers().at(asked + longestMs - IDLE_MS, (now, token) -> end(now), 0);
+    }
+
+    private void end(double now) {
+        boolean late = now - asked > longestMs + ANSWER_MS;
+        if (late && !answered) {
+            answered = true;
+            log.say("hand-over: " + core.open() + " queries are answered unserved");
+            core.finishAll();
+        }
+        fronts.forEach(f -> f.finishIdle(late));
+        if (fronts.stream().allMatch(Front::empty)) {
+            log.say("hand-over done");
+            over.run();
+        } else {
+            loop.timers().after(STEP_MS, (next, token) -> end(next), 0);
+        }
+    }
+}
--- a/gateway/src/main/java/stonelb/Server.java
+++ b/gateway/src/main/java/stonelb/Server.java
@@ -22,11 +22,6 @@
 
 /** Wires the parts of a gateway together, starts them, and hands over at a planned restart. */
 public final class Server {
-    private static final double LONGEST_MS = 3000;  // after SIGTERM: no deadline counts for longer
-    private static final double LEAVE_MS = 500;     // before that each link begins to end with its next answer,
-    private static final double IDLE_MS = 100;      // and before that those on which nothing is asked
-    private static final double ANSWER_MS = 250;    // over that: all is answered by then, well before SIGKILL
-    private static final double STEP_MS = 2;        // in which the loop reads what has come
     private static final int SPARE_SOCKETS = 48;    // of files, discovery, the counter and the loop
 
     private final Configuration config;
@@ -40,7 +35,6 @@
     private CounterCalls counter;
     private final List<Front> fronts = new ArrayList<>();
     private boolean serves;
-    private boolean answered;
     private int openApiPort;
 
     public Server(Configuration config, OpenApiSettings openApi) {
@@ -119,10 +113,12 @@
 
     /** SIGHUP: takes over where discovery and the counter are; all else of a configuration needs a start. */
     void reload(Configuration now) {
+        // Guards against a loop that stands still: to compare settings for the first time takes long.
+        boolean more = !now.listen().equals(config.listen()) || !now.settings().equals(config.settings())
+                || now.sockets() != config.sockets();
         loop.execute(() -> {
             log.say("configuration read again");
-            if (!now.listen().equals(config.listen()) || !now.settings().equals(config.settings())
-                    || now.sockets() != config.sockets()) {
+            if (more) {
                 log.say("configuration: of what changed, 'listen', 'limits' and 'settings' need a restart");
             }
             discovery.move(now.discovery());
@@ -130,47 +126,20 @@
         });
     }
 
-    /**
-     * SIGTERM: goes on serving on the links that there are, since clients led elsewhere at once would find the others
-     * full; then ends the links, answers all it has taken, and ends itself before it is killed. Before the start is
-     * over nobody has been served, and there is nothing to hand over.
-     */
+    /** SIGTERM. Before the start is over nobody has been served, and there is nothing to hand over. */
     void handOver() {
+        double asked = loop.now();
         loop.execute(() -> {
-            if (!serves) {
+            if (serves) {
+                new HandOver(loop, log, core, fronts, config.deadlinesMs(), over::countDown).begin(asked);
+            } else {
                 over.countDown();
-                return;
             }
-            log.say("hand-over begins, " + core.open() + " queries open");
-            double began = loop.now();
-            loop.timers().after(longestMs() - LEAVE_MS, (now, token) -> fronts.forEach(Front::leave), 0);
-            loop.timers().after(longestMs() - IDLE_MS, (now, token) -> end(began), 0);
         });
         try {
-            over.await((long) (LONGEST_MS + 2 * ANSWER_MS), TimeUnit.MILLISECONDS);
+            over.await(HandOver.MOST_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
-
-    /** How long the longest query may still be out. */
-    private double longestMs() {
-        return Math.min(LONGEST_MS, config.deadlinesMs().stream().mapToDouble(d -> d).max().orElse(LONGEST_MS));
-    }
-
-    private void end(double began) {
-        boolean late = loop.now() - began > longestMs() + ANSWER_MS;
-        if (late && !answered) {
-            answered = true;
-            log.say("hand-over: " + core.open() + " queries are answered unserved");
-            core.finishAll();
-        }
-        fronts.forEach(f -> f.finishIdle(late));
-        if (fronts.stream().allMatch(Front::empty)) {
-            log.say("hand-over done");
-            over.countDown();
-        } else {
-            loop.timers().after(STEP_MS, (now, token) -> end(began), 0);
-        }
-    }
 }
--- a/gateway/src/test/java/stonelb/HandOverTest.java
+++ b/gateway/src/test/java/stonelb/HandOverTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import lichenbeam.Gateway;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -35,7 +36,8 @@
     @TempDir
     Path folder;
     private final Log log = new Log();
-    private final Loop loop = new Loop(log);
+    private final AtomicReference<Double> clock = new AtomicReference<>();   // null: it runs
+    private final Loop loop = new Loop(log, () -> clock.get() == null ? System.nanoTime() / 1e6 : clock.get());
     private final BlockingQueue<Attempt> sent = new LinkedBlockingQueue<>();
     private Core core;
     private PlatformFront front;
@@ -187,6 +189,21 @@
         }
     }
 
+    /** Guards against answers after SIGKILL: the loop was busy for long when the signal came, and finds out late. */
+    @Test
+    void aLoopThatLearnsLateOfTheSignalStillEndsInTime() throws Exception {
+        try (Client client = met()) {
+            ask(client, "1");
+            sent.poll(20, TimeUnit.SECONDS);
+            onLoop(() -> {
+                clock.set(loop.now());   // it stands still from here on: what is due later never comes
+                new HandOver(loop, log, core, List.of(front), List.of(9000.0), () -> { }).begin(loop.now() - 3300);
+            });
+            assertEquals("-ERR failed", Peer.resp(client.in));
+            assertEquals(-1, client.in.read());
+        }
+    }
+
     private void whenEmpty(CompletableFuture<Void> then) {
         if (front.empty()) {
             then.complete(null);
