Tell changes within 6 s whatever becomes of a call, and serve nobody before the first list

Seen by reading, forced by tests: a watch that fell silent was found out after 6.5 s (Watch.WAIT_MS + SPARE_MS) and opened anew after that; where all gateways ask one discovery, the pause after failures grew to 0.5 s a gateway, 100 s for 200. A change counts as told 6 s after discovery had it. And a new gateway served on the list in its configuration until the first answer, while what the agent has counts as told from the start on. WatchTest's new test found the gateway listening before the first answer. Now: a call waits 2 s and is given up after 3; the first after a failure does not wait (wait=1) and is given up after 0.2 s from the own agent, once prolonged where its answer has begun, and after 2 s elsewhere; pauses end at 2.5 s, or 0.25 s towards the agent. More than was asked for ends the connection. The listener waits up to 0.4 s for the first answer. Server.serves is set before the first client can come: a SIGTERM between the two ended the program at once. Idle clients that use up all descriptors (ulimit -n 200) while discovery is down: a test of its own; it fails without the bound on client links.

--- a/control/src/main/java/stonelb/control/ControlService.java
+++ b/control/src/main/java/stonelb/control/ControlService.java
@@ -142,7 +142,7 @@
                     }
                 });
         loop.timers().after(Sizes.SWEEP_MS, this::sweep, 0);
-        new Discovery(loop, lines, group, config.settings(), config.seed()).begin(config.discovery());
+        new Discovery(loop, lines, group, config.settings(), config.seed()).begin(config.discovery(), () -> { });
     }
 
     /** Messages and ends that gRPC still hands over after the loop has ended are for nobody. */
--- a/core/src/main/java/stonelb/discovery/Discovery.java
+++ b/core/src/main/java/stonelb/discovery/Discovery.java
@@ -37,8 +37,9 @@
         return settings.mustSubscribe() ? settings.gateways() : 1;
     }
 
-    public void begin(InetSocketAddress at) {
-        watch = new Watch(loop, log, at, group, group.version(), gateways, random, () -> { });
+    /** {@code onList} is told of every answer of this first watch. */
+    public void begin(InetSocketAddress at, Runnable onList) {
+        watch = new Watch(loop, log, at, group, group.version(), gateways, random, onList);
         watch.begin();
     }
 
--- a/core/src/main/java/stonelb/discovery/Watch.java
+++ b/core/src/main/java/stonelb/discovery/Watch.java
@@ -14,16 +14,24 @@
 
 /**
  * The watch on discovery at one address: one call after the other, until it is told to stop. It goes on from the
- * version held, so that only changes are sent, and stays away for longer after each failure. Danger: gateways that
- * start together, or fail together, ask together; a discovery that can't keep up then fails them all for good.
+ * version held, so that only changes are sent, and stays away for longer after each failure. The first call after a
+ * failure does not wait for news, so that its own time-out is short. Danger: gateways that start together, or fail
+ * together, ask together; a discovery that can't keep up then fails them all for good.
+ *
+ * <p>A change counts as told 6 s after discovery had it and could be reached, whatever happened to the calls. So the
+ * longest time until a silent watch is found out, the pause after it, and the time to open it anew add up to less; and
+ * so do a call without an answer, the longest pause and the call after it.
  */
 public final class Watch implements Timers.Due {
-    private static final int WAIT_MS = 5000;
-    private static final int SPARE_MS = 1500;     // beyond the wait: discovery is silent
-    private static final int FIRST_MS = 3000;     // for the whole list, which waits its turn where many ask
+    private static final int WAIT_MS = 2000;
+    private static final int SPARE_MS = 1000;     // beyond the wait: discovery is silent
+    private static final int OPEN_MS = 2000;      // for an answer that may wait its turn, where many ask,
+    private static final int AGENT_OPEN_MS = 200; // but none of the agent on our own machine, unless it has begun
     private static final int CONNECT_MS = 250;
     private static final int AGAIN_MS = 100;      // under the 200 ms that keep a watch going; the first pause
-    private static final int SHARE_MS = 500;      // the longest pause, for each gateway that may ask as well
+    private static final int SHARE_MS = 500;      // the longest pause, for each gateway that may ask as well,
+    private static final int MOST_PAUSE_MS = 2500;   // and at most,
+    private static final int AGENT_PAUSE_MS = 250;   // and towards our own agent
     private static final int MOST_BYTES = 1 << 20;
 
     private final Loop loop;
@@ -36,6 +44,7 @@
     private Call call;
     private long index;   // the version held; -1: the next call asks for the whole list
     private int failures;   // in a row
+    private boolean opens = true;   // the call under way is the first, or the first after one with no answer
     private boolean stopped;
     private long turn;   // of the call or pause under way; timers of earlier ones are passed over
 
@@ -75,6 +84,8 @@
     private void take(HttpMessage m) throws Malformed {
         index = group.take(m.body());
         failures = 0;
+        opens = false;
+        call.answered = true;
         onList.run();
     }
 
@@ -93,18 +104,19 @@
             log.warn("discovery lost", at.getHostString() + ":" + at.getPort() + ", " + why + "; the last list serves on");
             which.close();
             call = null;
+            opens = !which.answered;
             loop.timers().after(pauseMs(failures++, gateways, random), this, ++turn);
         }
     }
 
     /**
      * How long to stay away after so many failures before this one: drawn from a span that doubles. The first is
-     * short, since a link that ends between two calls is no news of discovery; in the longest, all gateways together
-     * ask a few times a second, however many they are.
+     * short, since a link that ends between two calls is no news of discovery; the longest spares a discovery that all
+     * gateways ask as far as news may be late. What the agent on our own machine has counts as told, so it is asked again soon.
      */
     static double pauseMs(int failures, int gateways, SplittableRandom random) {
-        return Math.min(AGAIN_MS * Math.pow(2, Math.min(failures, 30)), Math.max(2 * AGAIN_MS, SHARE_MS * gateways))
-                * random.nextDouble();
+        double most = gateways == 1 ? AGENT_PAUSE_MS : Math.min(MOST_PAUSE_MS, SHARE_MS * gateways);
+        return Math.min(AGAIN_MS * Math.pow(2, Math.min(failures, 30)), most) * random.nextDouble();
     }
 
     @Override
@@ -114,6 +126,8 @@
         }
         if (call == null) {
             connect();
+        } else if (call.extended()) {
+            loop.timers().after(SPARE_MS, this, ++turn);
         } else {
             lost(call, "it is silent");
         }
@@ -122,6 +136,8 @@
     /** The connection to discovery. */
     private final class Call extends Connection {
         private final HttpParser parser = new HttpParser(true, MOST_BYTES);
+        private boolean answered;
+        private boolean longer;   // its answer has been given more time
 
         Call() {
             super(MOST_BYTES, Watch.this.log);
@@ -137,13 +153,22 @@
         }
 
         private void ask() {
-            boolean first = index < 0;
             ByteBuf out = buffer(128);
-            out.writeCharSequence("GET /catalog/members" + (first ? "" : "?index=" + index + "&wait=" + WAIT_MS)
+            out.writeCharSequence("GET /catalog/members"
+                    + (index < 0 ? "" : "?index=" + index + "&wait=" + (opens ? 1 : WAIT_MS))
                     + " HTTP/1.1\r\nHost: " + at.getHostString() + ":" + at.getPort() + "\r\n\r\n",
                     StandardCharsets.US_ASCII);
             send(out);
-            loop.timers().after(first ? FIRST_MS : WAIT_MS + SPARE_MS, Watch.this, ++turn);
+            answered = false;
+            longer = false;
+            loop.timers().after(!opens ? WAIT_MS + SPARE_MS : gateways == 1 ? AGENT_OPEN_MS : OPEN_MS, Watch.this, ++turn);
+        }
+
+        /** Whether a short time was up while its answer, a long list maybe, was coming in: it gets more, once. */
+        private boolean extended() {
+            boolean more = opens && gateways == 1 && !longer && (parser.within() || in.size() > 0);
+            longer |= more;
+            return more;
         }
 
         @Override
@@ -158,6 +183,9 @@
                     return;
                 }
                 take(m);
+                if (in.size() > 0) {   // would be taken for the answer to the next call
+                    throw new Malformed("it answered what was not asked");
+                }
                 if (m.keepsAlive()) {
                     ask();
                 } else {
@@ -174,7 +202,7 @@
 
         @Override
         protected void closed() {
-            HttpMessage m = parser.end();
+            HttpMessage m = peerEnded() ? parser.end() : null;
             if (m != null && m.status() == 200 && this == call) {
                 try {
                     take(m);
--- a/gateway/src/main/java/stonelb/Server.java
+++ b/gateway/src/main/java/stonelb/Server.java
@@ -22,6 +22,7 @@
 
 /** Wires the parts of a gateway together, starts them, and hands over at a planned restart. */
 public final class Server {
+    private static final int LIST_MS = 400;         // for discovery's first answer, before the first client
     private static final int SPARE_SOCKETS = 48;    // of files, discovery, the counter and the loop
 
     private final Configuration config;
@@ -29,6 +30,7 @@
     private final Log log = new Log();
     private final Loop loop = new Loop(log);
     private final CountDownLatch over = new CountDownLatch(1);
+    private final CountDownLatch listed = new CountDownLatch(1);
     private Core core;
     private HostGroup group;
     private Discovery discovery;
@@ -58,14 +60,18 @@
         try {
             done.await();
             if (failed[0] == null) {
+                // Guards against work for a plan server that drains: what discovery has counts as told from the start
+                // on, and the list in the configuration may be old. It serves until a silent discovery answers.
+                listed.await(LIST_MS, TimeUnit.MILLISECONDS);
+                loop.execute(() -> serves = true);   // before the first query can come, or SIGTERM would lose it
                 listen(fronts.get(0), config.listen(), "the platform");
                 if (openApi != null) {
                     openApiPort = listen(fronts.get(1), openApi.listen(), "OpenAPI routes");
                 }
-                loop.execute(() -> serves = true);
             }
         } catch (Exception e) {   // a bind fails with an exception that its signature hides
             failed[0] = e;
+            loop.execute(() -> serves = false);
         }
         if (failed[0] instanceof Configuration.Invalid invalid) {
             throw invalid;
@@ -108,7 +114,7 @@
             fronts.add(new OpenApiFront(loop, log, core, config, openApi, 2 * part));
         }
         discovery = new Discovery(loop, log, group, config.settings(), config.seed());
-        discovery.begin(config.discovery());
+        discovery.begin(config.discovery(), listed::countDown);
     }
 
     /** SIGHUP: takes over where discovery and the counter are; all else of a configuration needs a start. */
--- a/gateway/src/test/java/stonelb/WatchTest.java
+++ b/gateway/src/test/java/stonelb/WatchTest.java
@@ -3,11 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import stonelb.standins.Peer;
@@ -81,4 +86,86 @@
             }
         }
     }
+
+    /** Guards against work for a plan server that drains: what discovery has counts as told from the start on. */
+    @Test
+    void aGatewayServesNobodyBeforeDiscoverysFirstAnswer() throws Exception {
+        BlockingQueue<Program> started = new LinkedBlockingQueue<>();
+        List<String> early = new CopyOnWriteArrayList<>();
+        try (StandIns around = new StandIns(); Peer discovery = new Peer((in, out) -> {
+            Program program = null;
+            while (true) {
+                boolean first = Peer.http(in).target().endsWith("wait=1");
+                program = program == null ? started.take() : program;
+                for (int i = 0; i < 10 && first && early.isEmpty(); i++) {   // a while in which it would have begun
+                    String line = program.line(" serves ");
+                    early.addAll(line == null ? List.of() : List.of(line));
+                    Thread.sleep(10);
+                }
+                Peer.write(out, Peer.httpAnswer(200, "", first ? around.list().replace("in_service", "terminating") : list));
+            }
+        })) {
+            list = empty(0).replace("\"index\":0", "\"index\":5");
+            String config = around.config("127.0.0.1:0", Program.OPEN).replace(around.discovery.address(), discovery.address());
+            try (Program program = new Program(folder, config, null)) {
+                started.add(program);
+                try (Client client = new Client(program.port("the platform"))) {
+                    assertEquals(List.of(), early);
+                    assertTrue(client.ask("Q.ASK", "0000000000000001", "2", "c=read,t=open,d=900,units=1,spread=1,first=0",
+                            "x").startsWith("-BUSY"), "it knows that its plan server drains");
+                    assertEquals(List.of(), around.ran);
+                }
+            }
+        }
+    }
+
+    /** Guards against idle clients that leave no descriptor for discovery when it is back, the counter and plan servers. */
+    @Test
+    void idleClientsLeaveDescriptorsForAllOthersWhileDiscoveryIsDown() throws Exception {
+        int descriptors = 200;
+        CompletableFuture<Void> back = new CompletableFuture<>();
+        List<Client> idle = new ArrayList<>();
+        try (StandIns around = new StandIns(); Peer discovery = new Peer((in, out) -> {
+            while (true) {
+                Peer.http(in);
+                if (!back.isDone()) {
+                    in.read();   // silent until it is given up
+                    return;
+                }
+                Peer.write(out, Peer.httpAnswer(200, "", around.list().replace("\"index\":0", "\"index\":9")));
+                Thread.sleep(20);
+            }
+        }); Peer gone = new Peer((in, out) -> { })) {
+            String config = around.config("127.0.0.1:0", Program.FIVE).replace(around.discovery.address(), discovery.address())
+                    .replace("\"sockets\":1024", "\"sockets\":" + descriptors)
+                    .replace(around.list(), around.list().replace(around.resp.address(), gone.address()));
+            try (Program program = Program.limited(folder, config, descriptors)) {
+                int port = program.port("the platform");
+                for (int i = 0; i < 2 * descriptors; i++) {
+                    Client client = new Client(port);
+                    idle.add(client);
+                    try {
+                        client.write("*1\r\n$4\r\nPING\r\n");
+                    } catch (IOException e) {
+                        // closed already: as good
+                    }
+                }
+                Program.until("it has been silent for a while", () -> program.line("discovery lost") != null);
+                back.complete(null);
+                Program.until("it serves what discovery names now", () -> {
+                    try (Client client = new Client(port)) {
+                        return "echo x".equals(client.ask("Q.ASK", "0000000000000001", "2",
+                                "c=read,t=five,d=900,units=1,spread=1,first=0", "x"));
+                    } catch (IOException e) {
+                        return false;   // turned away
+                    }
+                });
+                assertTrue(!around.added.isEmpty(), "the counter was reached");
+            }
+        } finally {
+            for (Client client : idle) {
+                client.close();
+            }
+        }
+    }
 }
--- a/standins/src/main/java/stonelb/standins/Program.java
+++ b/standins/src/main/java/stonelb/standins/Program.java
@@ -19,36 +19,42 @@
     public static final String OPEN = "{\"name\":\"open\",\"worthFactor\":1,\"overrunCost\":1}";
     public static final String FIVE = "{\"name\":\"five\",\"unitsPerS\":0.001,\"depth\":5,\"worthFactor\":1,\"overrunCost\":1}";
 
+    private static final List<String> CLASSES = List.of("-XX:TieredStopAtLevel=1", "-cp",
+            System.getProperty("java.class.path"), "stonelb.Main");
+
     private final Process process;
     private final List<String> log = new CopyOnWriteArrayList<>();
 
     /** {@code openApi} is the text of the deploy file for that front, or null where it is off. */
     public Program(Path folder, String config, String openApi) throws IOException {
-        this(folder, config, openApi, "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "stonelb.Main");
+        this(null, folder, config, openApi, CLASSES);
     }
 
     /** With the virtual machine's arguments, up to the program's own. */
     public Program(Path folder, String config, String openApi, String... java) throws IOException {
-        this(folder, config, openApi, false, java);
+        this(null, folder, config, openApi, List.of(java));
     }
 
     /** As under {@code nohup}: started with SIGHUP ignored. */
     public static Program deaf(Path folder, String config) throws IOException {
-        return new Program(folder, config, null, true, "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), "stonelb.Main");
+        return new Program("trap '' HUP", folder, config, null, CLASSES);
+    }
+
+    /** With so many file descriptors at most. */
+    public static Program limited(Path folder, String config, int descriptors) throws IOException {
+        return new Program("ulimit -n " + descriptors, folder, config, null, CLASSES);
     }
 
-    private Program(Path folder, String config, String openApi, boolean deaf, String... java) throws IOException {
+    private Program(String before, Path folder, String config, String openApi, List<String> java) throws IOException {
         Files.writeString(folder.resolve("config.json"), config);
         if (openApi != null) {
             Files.writeString(folder.resolve("openapi.json"), openApi);
         }
-        List<String> command = new ArrayList<>(List.of(java));
+        List<String> command = new ArrayList<>(java);
         command.add(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.add("serve");
-        if (deaf) {
-            command.addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        if (before != null) {
+            command.addAll(0, List.of("sh", "-c", before + "; exec \"$@\"", "sh"));
         }
         ProcessBuilder b = new ProcessBuilder(command);
         b.redirectErrorStream(true);
