Let calls that gateways save up for a cold plan server lapse, so that together they are no burst

Seen: ColdFleetTest, 20 gateways, a server too cold for its aim until it has two thirds of its capacity: 15 calls within 1 s where 4.8 are allowed (4.8 + 2 roots + 2 = 11). Ruled out: the rate itself; the sum of all shares stays at what a warm server gets, times the cold one's capacity. Now: a call that is not spent within a quarter of the window lapses, so what is saved up over the fleet is a quarter of a window's worth.

--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -856,13 +856,14 @@
             return set.rules().coldFrom() + (1 - set.rules().coldFrom()) * age;
         }
 
-        /** Rule 4. Danger: all gateways at once push a cold server over. Covers any server newly up. */
+        /** Rule 4. Danger: gateways that each have a call saved up push a cold server over: it lapses. */
         boolean warmEnough(double now) {
             if (now >= coldUntil) {
                 return true;
             }
             double per = Math.max(fleet.warmRate, 1e-3 / gateways) * capacity(now);
-            budget = Math.min(Math.max(1, per * set.rules().fallMs() / 4), budget + per * (now - budgetAt));
+            budget += per * (now - budgetAt);
+            budget -= Math.max(0, Math.ceil(budget - 1 - per * set.rules().fallMs() / 4));
             budgetAt = now;
             return budget >= 1;
         }
--- a/decision/src/test/java/lichenbeam/Script.java
+++ b/decision/src/test/java/lichenbeam/Script.java
@@ -34,8 +34,12 @@
     }
 
     Script(RequestClass type, Plan plan, int rank, int gateways, boolean secondCopies) {
+        this(type, plan, rank, gateways, secondCopies, new Gateway.Rules(0.2, 10_000, 2000));
+    }
+
+    Script(RequestClass type, Plan plan, int rank, int gateways, boolean secondCopies, Gateway.Rules rules) {
         gateway = new Choice(now, new Gateway.Settings(gateways, List.of(type), List.of(plan),
-                new Gateway.Allowed(3, secondCopies, true, true, 1000), new Gateway.Rules(0.2, 10_000, 2000),
+                new Gateway.Allowed(3, secondCopies, true, true, 1000), rules,
                 new Gateway.Counter(true, 50), 4, false, false, 4), 7 + rank, this);
     }
 
