Begin no attempt for a client that has gone, and cut no answer that is still being written

Found by a review of what ends things; each is forced by a test that fails with the old lines planted back. - FrontLink.received took queries while it read them, 16 KB at a time, so what a client sent along with its end was begun. Now input is read to its end first and taken after all links were read, at most 10 ms at a time. - FrontLink.flow stopped reading at 512 open queries or a full socket; the end of the link was not seen then. It reads on up to 128 KB, 16 KB where all links hold much. - A loop that was busy came to a retry, or to an answer of the counter, before it read the client's end. The one that has idled for longest ends for a new one. - Whether an attempt was written is asked of the write, not noted by its listener.

--- a/core/src/main/java/stonelb/counter/CounterLink.java
+++ b/core/src/main/java/stonelb/counter/CounterLink.java
@@ -166,6 +166,14 @@
     @Override
     protected void closed() {
         ended = true;
+        HttpMessage last = peerEnded() ? parser.end() : null;
+        if (last != null && !out.isEmpty()) {
+            try {
+                take(out.poll(), last);
+            } catch (Malformed e) {
+                log.warn("counter sent malformed input", e.getMessage());
+            }
+        }
         for (CounterCall call = out.poll(); call != null; call = out.poll()) {
             call.report(Outcome.RESET, 0);   // it may have been added
         }
--- a/core/src/main/java/stonelb/io/Connection.java
+++ b/core/src/main/java/stonelb/io/Connection.java
@@ -12,6 +12,7 @@
     protected final Log log;
     private Channel channel;
     private boolean closed;
+    private boolean broken;   // by us, by a reset, or by a write that failed: no end that the peer meant
 
     protected Connection(int mostBytes, Log log) {
         in = new Buffer(mostBytes);
@@ -43,11 +44,21 @@
     }
 
     protected final ChannelFuture send(ByteBuf out) {
-        return channel.writeAndFlush(out);
+        ChannelFuture write = channel.writeAndFlush(out);
+        if (!write.isSuccess()) {
+            write.addListener(f -> broken |= !f.isSuccess());
+        }
+        return write;
+    }
+
+    /** Whether the peer has ended its sending: what it sent is whole then. A reset is no such end, nor is our own. */
+    protected final boolean peerEnded() {
+        return closed && !broken;
     }
 
     public final void close() {
         if (channel != null) {
+            broken |= channel.isActive();
             channel.close();
         }
     }
@@ -83,6 +94,7 @@
 
     @Override
     public final void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        broken = true;
         if (!(cause instanceof java.io.IOException)) {
             log.warn("internal error", cause + (cause.getStackTrace().length > 0
                     ? " at " + cause.getStackTrace()[0] : ""));
--- a/core/src/main/java/stonelb/io/Loop.java
+++ b/core/src/main/java/stonelb/io/Loop.java
@@ -11,11 +11,17 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
@@ -25,13 +31,15 @@
 /** The one event-loop thread, which owns everything, with the clock and the alarm of its timers. */
 public final class Loop implements Timers.Alarm {
     private static final int READ_BYTES = 16 * 1024;
+    private static final int MOST_READS = 8;   // of one connection, before the others have their turn
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, this::looking);
     private final EventLoop loop = group.next();
     private final DoubleSupplier clock;
     private final Timers timers = new Timers(this);
     private final Log log;
     private ScheduledFuture<?> alarm;
+    private double lookedAt;
 
     /** A loop on the system's clock: Unix time in milliseconds, which never steps back. */
     public Loop(Log log) {
@@ -48,6 +56,54 @@
         return () -> epochMs + System.nanoTime() / 1e6;
     }
 
+    /** Netty's own handler of input, with a note of when it last was done with all that had come. */
+    private IoHandler looking(ThreadAwareExecutor executor) {
+        IoHandler nio = NioIoHandler.newFactory().newHandler(executor);
+        return new IoHandler() {
+            @Override
+            public void initialize() {
+                nio.initialize();
+            }
+
+            @Override
+            public int run(IoHandlerContext context) {
+                int handled = nio.run(context);
+                lookedAt = now();
+                return handled;
+            }
+
+            @Override
+            public void prepareToDestroy() {
+                nio.prepareToDestroy();
+            }
+
+            @Override
+            public void destroy() {
+                nio.destroy();
+            }
+
+            @Override
+            public IoRegistration register(IoHandle handle) throws Exception {
+                return nio.register(handle);
+            }
+
+            @Override
+            public void wakeup() {
+                nio.wakeup();
+            }
+
+            @Override
+            public boolean isCompatible(Class<? extends IoHandle> type) {
+                return nio.isCompatible(type);
+            }
+        };
+    }
+
+    /** When all input that had come was last read; what has come since waits, ends of links too. */
+    public double lookedAt() {
+        return lookedAt;
+    }
+
     public Timers timers() {
         return timers;
     }
@@ -97,13 +153,18 @@
         f.addListener(onResult);
     }
 
+    /** Reads on until there is nothing more, so that the end of a connection is seen along with what came before it. */
+    private static RecvByteBufAllocator toTheEnd() {
+        return new FixedRecvByteBufAllocator(READ_BYTES).respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS);
+    }
+
     /** Listens; every connection accepted gets a handler of its own. */
     public Channel listen(InetSocketAddress at, Supplier<ChannelHandler> connections) throws InterruptedException {
         return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, toTheEnd())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/core/src/test/java/stonelb/counter/CounterTest.java
+++ b/core/src/test/java/stonelb/counter/CounterTest.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -120,6 +121,23 @@
         }
     }
 
+    /** Guards against part of a total that is taken for all of it: without a length, only the counter's own end is its end. */
+    @Test
+    void aTotalWithoutALengthEndsWithTheConnectionButNotWithAReset() throws Exception {
+        for (boolean reset : new boolean[] {false, true}) {
+            add(5);
+            call();
+            socket.getOutputStream().write("HTTP/1.1 200 X\r\n\r\n12".getBytes(StandardCharsets.US_ASCII));
+            CompletableFuture<Void> read = new CompletableFuture<>();
+            loop.execute(() -> loop.timers().after(0, (now, token) -> read.complete(null), 0));
+            read.get(20, TimeUnit.SECONDS);   // between the two the loop reads
+            socket.setSoLinger(reset, 0);
+            socket.close();
+            socket = null;
+            assertEquals(reset ? "8 RESET 0.0" : "8 OK 12.0", next());
+        }
+    }
+
     @Test
     void whatEveryEndOfACallProves() throws Exception {
         add(1);
--- a/gateway/src/main/java/stonelb/HandOver.java
+++ b/gateway/src/main/java/stonelb/HandOver.java
@@ -54,7 +54,9 @@
         if (late && !answered) {
             answered = true;
             log.say("hand-over: " + core.open() + " queries are answered unserved");
-            core.finishAll();
+        }
+        if (late) {
+            core.finishAll();   // each time, for what was read meanwhile
         }
         fronts.forEach(f -> f.finishIdle(late));
         if (fronts.stream().allMatch(Front::empty)) {
--- a/gateway/src/main/java/stonelb/front/Front.java
+++ b/gateway/src/main/java/stonelb/front/Front.java
@@ -34,7 +34,7 @@
     private final Set<FrontLink> links = new LinkedHashSet<>();
     private final Set<FrontLink> unheard = new LinkedHashSet<>();   // have asked nothing whole yet, oldest first
     private final Set<FrontLink> idle = new LinkedHashSet<>();      // have asked and have nothing open, longest first
-    private Channel listener;
+    private volatile Channel listener;   // null until it listens
     private boolean leaving;   // each link ends with its next answer
     private long bytes;
     private long unread;
@@ -80,14 +80,24 @@
 
     /** The link that is missed least: silent for a while, then idle for a while, then idle, then silent. */
     private FrontLink leaver(double now) {
-        FrontLink silent = first(unheard);
-        FrontLink unused = first(idle);
+        FrontLink silent = resting(unheard);
+        FrontLink unused = resting(idle);
         if (silent != null && (now - silent.restsSince() > YOUNG_MS || unused == null)) {
             return silent;
         }
         return unused;
     }
 
+    /** Guards against the end of a link that has just brought something, or has brought half of it. */
+    private static FrontLink resting(Set<FrontLink> set) {
+        for (FrontLink link : set) {
+            if (link.rests() && !link.begun()) {
+                return link;
+            }
+        }
+        return null;
+    }
+
     private static FrontLink first(Set<FrontLink> set) {
         return set.isEmpty() ? null : set.iterator().next();
     }
@@ -119,6 +129,7 @@
         closeResting(idle, now - (links.size() > mostLinks / 2 ? IDLE_MS : QUIET_MS));
         for (FrontLink link : new ArrayList<>(links)) {
             link.stalled(now - SILENT_MS);
+            link.stuck(now - QUIET_MS);
         }
     }
 
@@ -159,9 +170,14 @@
         core.withdraw(query);
     }
 
-    /** Input of a link that waits is read on once the answer under way has been dealt with. */
-    final void later(FrontLink link) {
-        loop.execute(link::resume);
+    /** Whether all links together hold so much that each should read little ahead. */
+    final boolean crowded() {
+        return unread > MOST_UNREAD / 2;
+    }
+
+    /** Input of a link is taken on once all links have been read. */
+    final void soon(FrontLink link) {
+        loop.timers().after(0, (now, token) -> link.resume(), 0);
     }
 
     /** The link has said all; the client is given a moment to take it before the connection ends. */
@@ -184,14 +200,14 @@
      * of a message may become whole, and new links come, until {@code all} are to end.
      */
     public final void finishIdle(boolean all) {
-        if (all) {
+        if (all && listener != null) {
             listener.close();
         }
         int most = all ? links.size() : 1 + links.size() / SHARE;
         List<FrontLink> resting = new ArrayList<>(idle);
         resting.addAll(unheard);
         for (FrontLink link : resting) {
-            if (most > 0 && !link.isLast() && (all || !link.within())) {
+            if (most > 0 && link.rests() && (all || !link.begun())) {
                 most--;
                 link.finish();
             }
--- a/gateway/src/main/java/stonelb/front/FrontLink.java
+++ b/gateway/src/main/java/stonelb/front/FrontLink.java
@@ -13,7 +13,10 @@
 /** A client link: one client's connection to a front. Answers leave in the order of what was asked on it. */
 public abstract class FrontLink extends Connection implements ChannelFutureListener {
     private static final int MOST_BYTES = 256 * 1024;
-    private static final int MOST_WAITING = 512;   // asked and unanswered; more is read once some are answered
+    private static final int MOST_WAITING = 512;   // asked and unanswered; more is taken once some are answered
+    private static final int MOST_AHEAD = 128 * 1024;   // bytes read and not taken; a message's largest part fits in
+    private static final int CROWDED_AHEAD = 16 * 1024; // the same where all links together hold much
+    private static final double SLICE_MS = 10;     // of taking messages, between two looks at what all links bring
 
     /** The place of one message in the order of answers. */
     public interface Slot {
@@ -39,6 +42,7 @@
     private double restsSince;     // of being up, or of the last answer
     private double partSince = -1; // a message has begun and is not whole, or below 0
     private int unread;            // bytes that the front counts as held for it
+    private boolean due;           // input is read that will be taken soon
 
     protected FrontLink(Front front, Log log) {
         super(MOST_BYTES, log);
@@ -67,23 +71,63 @@
         front.opened(this);
     }
 
+    /**
+     * Input is read at once, and taken after all links have been read, so that the end of a link is known before what
+     * came ahead of it is begun.
+     */
     @Override
     protected final void received() throws Malformed {
-        while (!last && order.size() < MOST_WAITING && readOne()) {
-            partSince = -1;
-        }
-        partSince = !within() ? -1 : partSince < 0 ? front.now() : partSince;
         if (last) {
             in.skip(in.size());   // what comes after the end can't be told apart
         }
+        count();
+        flow();
+        if (!due) {
+            due = true;
+            channel().eventLoop().execute(this::resume);
+        }
+    }
+
+    private void count() throws Malformed {
         int before = unread;
         unread = last ? 0 : in.capacity() + held();
         if (!front.holds(unread - before) && partSince >= 0) {
             throw new Malformed("too many bytes of messages wait on all links");
         }
+    }
+
+    private void take() throws Malformed {
+        double until = front.now() + SLICE_MS;
+        while (!last && mayTake() && readOne()) {
+            partSince = -1;
+            if (front.now() > until) {   // guards against the end of another link that waits behind a crowd on this one
+                due = true;
+                front.soon(this);
+                break;
+            }
+        }
+        partSince = !within() ? -1 : partSince < 0 ? front.now() : partSince;
+        if (last) {
+            in.skip(in.size());
+        }
+        count();
         flow();
     }
 
+    private boolean mayTake() {
+        return order.size() < MOST_WAITING && channel().isWritable();
+    }
+
+    /** Whether it may be ended with no loss: nothing is open, half written, or read and not taken yet. */
+    final boolean rests() {
+        return !due && order.isEmpty() && writing == 0 && !last;
+    }
+
+    /** Whether part of a message is here, whole or not. */
+    final boolean begun() {
+        return in.size() > 0 || within();
+    }
+
     /** Begins a query, or throttles it where the front holds too much already. */
     protected final void ask(FrontQuery query) {
         enqueue(query);
@@ -112,10 +156,11 @@
         return restsSince;
     }
 
-    /** Ends a link of no use: half a message is complained of, all else ends without a word. */
+    /** Ends a link of no use, without a word. Guards against the end of one on which a message has just begun. */
     final void giveUp() {
-        if (partSince >= 0 && !last) {
-            malformed("a message stays half sent");
+        if (due || begun()) {
+            restsSince = front.now();
+            front.rests(this);   // where it stays half sent, see stalled()
         } else {
             close();
         }
@@ -123,11 +168,18 @@
 
     /** Guards against input that never becomes whole, behind queries that are open too. */
     final void stalled(double before) {
-        if (partSince >= 0 && partSince < before && !last) {
+        if (partSince >= 0 && partSince < before && !last && !due) {
             malformed("a message stays half sent");
         }
     }
 
+    /** Guards against a client that never takes its answers: nothing earns by them any more. */
+    final void stuck(double before) {
+        if (writing > 0 && order.isEmpty() && restsSince < before) {
+            close();
+        }
+    }
+
     /** Nothing more is read on it; it ends once nothing is owed. */
     protected final void lastRead() {
         last = true;
@@ -150,14 +202,15 @@
             last |= front.leaving() && order.isEmpty() && in.size() == 0 && !within();
             slot.writeAnswer(out);
         }
-        if (full && !last) {
-            front.later(this);
+        if (full && !last && !due) {
+            due = true;
+            channel().eventLoop().execute(this::resume);
         }
         if (order.isEmpty()) {
             restsSince = front.now();
-            front.rests(this);
         }
         writing++;
+        flow();
         send(out).addListener(this);
     }
 
@@ -166,17 +219,22 @@
     public final void operationComplete(ChannelFuture write) {
         writing--;
         if (write.isSuccess()) {
+            if (rests()) {
+                last = front.leaving() && !begun();
+                front.rests(this);   // not before: to end it would cut its answer
+            }
             endIfLast();
         } else {
             close();
         }
     }
 
-    /** Reads what waited for its turn. */
+    /** Takes what waited for its turn. */
     final void resume() {
+        due = false;
         try {
-            if (isOpen()) {
-                received();
+            if (isOpen() && !ended) {
+                take();
             }
         } catch (Malformed e) {
             malformed(e.getMessage());
@@ -184,19 +242,24 @@
     }
 
     /**
-     * Guards against a client that asks without reading: nothing more is read until it does. And against a query that
-     * crosses the end of its link: its client sends it once more if it was not read here, and waits in vain if it was.
-     * Behind spoilt input there are no queries, and it is read, so that the complaint is not reset.
+     * What is not taken yet is read all the same, up to a bound, since the end of the link is seen only by reading.
+     * Guards against a query that crosses the end of its link: its client sends it once more if it was not read here,
+     * and waits in vain if it was. Behind spoilt input, or what its client called its last, there are no queries: it is
+     * read, so that the complaint is not reset and the client's end is seen.
      */
     private void flow() {
         if (isOpen()) {
-            channel().config().setAutoRead(ended ? spoilt : order.size() < MOST_WAITING && channel().isWritable());
+            channel().config().setAutoRead(last ? spoilt || !order.isEmpty()
+                    : in.size() < (front.crowded() ? CROWDED_AHEAD : MOST_AHEAD));
         }
     }
 
     @Override
     public final void channelWritabilityChanged(ChannelHandlerContext context) {
-        flow();
+        if (!due && isOpen() && channel().isWritable()) {
+            due = true;
+            channel().eventLoop().execute(this::resume);
+        }
     }
 
     /** What was taken before is still answered, in order; then the link ends. */
--- a/gateway/src/main/java/stonelb/server/HttpLink.java
+++ b/gateway/src/main/java/stonelb/server/HttpLink.java
@@ -36,7 +36,7 @@
 
     @Override
     protected void inputEnded() {
-        HttpMessage m = parser.end();
+        HttpMessage m = peerEnded() ? parser.end() : null;
         if (m != null) {
             take(m, false);
         }
--- a/gateway/src/main/java/stonelb/server/Pool.java
+++ b/gateway/src/main/java/stonelb/server/Pool.java
@@ -96,7 +96,14 @@
 
     private void connect() {
         if (connecting < waiting.size() && links < owner.mostLinks()) {
+            if (!owner.room()) {
+                if (links == 0) {   // nothing will come free here: it never ran
+                    owner.ended(waiting.poll(), Outcome.CONNECT_FAILED, null);
+                }
+                return;
+            }
             links++;
+            owner.counts(1);
             connecting++;
             ServerLink link = kind == Outbound.Kind.RESP ? new RespLink(this, owner.log())
                     : new HttpLink(this, owner.log());
@@ -115,6 +122,7 @@
     /** A link did not come up, or ended before anything could be written to it. */
     void notUp() {
         links--;
+        owner.counts(-1);
         connecting--;
         Attempt a = waiting.poll();
         if (a != null) {
@@ -128,6 +136,26 @@
         owner.stale(idledMs);
     }
 
+    /** Whether what clients have sent since, their ends too, may wait unread: see {@link ServerLinks#late}. */
+    boolean late() {
+        return owner.late();
+    }
+
+    /** The link that has idled for longest, or null. */
+    ServerLink oldestIdle() {
+        ServerLink oldest = null;
+        for (ServerLink link : idle) {
+            oldest = oldest == null || link.idleSince() < oldest.idleSince() ? link : oldest;
+        }
+        return oldest;
+    }
+
+    /** Ends an idle link for one that is needed elsewhere. */
+    void evict(ServerLink link) {
+        idle.remove(link);
+        link.close();
+    }
+
     void after(double ms, ServerLink link) {
         owner.after(ms, link);
     }
@@ -155,6 +183,7 @@
 
     void down(ServerLink link) {
         links--;
+        owner.counts(-1);
         idle.remove(link);
         connect();
     }
--- a/gateway/src/main/java/stonelb/server/ServerLink.java
+++ b/gateway/src/main/java/stonelb/server/ServerLink.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import lichenbeam.Gateway.Outcome;
 import stonelb.core.Attempt;
 import stonelb.core.Reply;
@@ -12,7 +11,7 @@
 import stonelb.io.Malformed;
 
 /** One connection to a plan server. It carries one attempt at a time: none waits behind a slow one. */
-abstract class ServerLink extends Connection implements ChannelFutureListener, Timers.Due {
+abstract class ServerLink extends Connection implements Timers.Due {
     private static final int MOST_BYTES = 256 * 1024;
     /** After an answer. What comes right behind it, more bytes or an end, has come by then. */
     private static final double REST_MS = 10;
@@ -24,7 +23,7 @@
     private final Pool pool;
     private final int process;
     private Attempt attempt;
-    private boolean written;   // the last byte of the attempt has gone out
+    private ChannelFuture write;   // of the attempt; done once its last byte has gone out
     private double idleSince;
     private double idledMs = -1;   // before the attempt that is out; below 0 for the first
     private boolean settled;
@@ -55,24 +54,24 @@
         idledMs = used ? pool.now() - idleSince : -1;
         used = true;
         a.carrier(this);
-        written = false;
         starting((Outbound) a.query());
         ByteBuf out = buffer(512);
         ((Outbound) a.query()).writeTo(out, Math.max(1, (long) (a.deadline() - pool.now())), pool.authority());
-        send(out).addListener(this);
+        write = send(out);
+    }
+
+    /** Asked of the write itself: one told of it by a listener may be told too late. */
+    private boolean written() {
+        return write.isSuccess();
     }
 
     /** A request is about to be written. */
     protected void starting(Outbound request) { }
 
-    @Override
-    public final void operationComplete(ChannelFuture write) {
-        written |= write.isSuccess();
-    }
-
     /** Gives up its attempt by closing, which is all that a plan server understands. */
     final boolean abandon() {
         attempt = null;
+        boolean written = written();   // before the close fails what is not written yet
         close();
         return written;
     }
@@ -108,10 +107,13 @@
         if (!isOpen()) {
             return;   // told by closed()
         }
-        looking = !looking;
-        if (looking) {
+        if (!looking || pool.late()) {
+            looking = true;
             pool.after(0, this);
-        } else if (settled) {
+            return;
+        }
+        looking = false;
+        if (settled) {
             pool.free(this);
         } else {
             settled = true;
@@ -160,7 +162,7 @@
         pool.down(this);
         if (a != null) {
             a.carrier(null);
-            pool.ended(a, written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+            pool.ended(a, written() ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
         }
     }
 }
--- a/gateway/src/main/java/stonelb/server/ServerLinks.java
+++ b/gateway/src/main/java/stonelb/server/ServerLinks.java
@@ -24,6 +24,8 @@
     private static final double LEAST_TRUST_MS = 5;      // under the time that a link rests: none is used again
     private static final double TRUST_DOUBLES_MS = 2000;
 
+    private static final double LATE_MS = 50;   // since the loop looked at its links; a client may have gone for 100 ms
+
     private static final class Host {
         String name;
         InetSocketAddress address;
@@ -40,6 +42,7 @@
     private final int httpPort;
     private final Map<Long, Host> hosts = new HashMap<>();
     private Core core;
+    private int links;   // up or coming up, to all plan servers
     private double trustMs;   // how long links may idle and still be good, as seen at trustAt
     private double trustAt;
 
@@ -95,8 +98,33 @@
                 : new InetSocketAddress(h.address.getAddress(), httpPort);
     }
 
+    /**
+     * Guards against an attempt for a client that has gone while the loop was busy: its end is read first, and the
+     * attempt begins only if it is still wanted.
+     */
     @Override
     public void start(Attempt a) {
+        if (late()) {
+            loop.timers().after(0, (now, token) -> startIfWanted(a), 0);
+        } else {
+            begin(a);
+        }
+    }
+
+    private void startIfWanted(Attempt a) {
+        if (!core.mayWrite(a)) {
+            core.ended(a, Outcome.MOOT, null);
+        } else {
+            start(a);
+        }
+    }
+
+    /** Whether the loop has been busy for so long that the end of a client's link may wait unread. */
+    boolean late() {
+        return loop.now() - loop.lookedAt() > LATE_MS;
+    }
+
+    private void begin(Attempt a) {
         Host h = hosts.get(a.server());
         Outbound.Kind kind = ((Outbound) a.query()).kind();
         Pool pool = h.pools[kind.ordinal()];
@@ -109,7 +137,9 @@
 
     @Override
     public boolean stop(Attempt a) {
-        return hosts.get(a.server()).pools[((Outbound) a.query()).kind().ordinal()].stop(a);
+        Host h = hosts.get(a.server());
+        Pool pool = h == null ? null : h.pools[((Outbound) a.query()).kind().ordinal()];
+        return pool != null && pool.stop(a);   // none: it waits for the loop
     }
 
     /** Guards against a write to a link that the plan server closes at that moment, which ends as a reset. */
@@ -162,6 +192,35 @@
         return log;
     }
 
+    void counts(int more) {
+        links += more;
+    }
+
+    /**
+     * Whether one more link may be opened: at the bound, the one that has idled for longest ends for it. Guards against
+     * links to hundreds of plan servers that take the descriptors of discovery and the counter.
+     */
+    boolean room() {
+        if (links < sockets) {
+            return true;
+        }
+        Pool from = null;
+        ServerLink oldest = null;
+        for (Host h : hosts.values()) {
+            for (Pool pool : h.pools) {
+                ServerLink link = pool == null ? null : pool.oldestIdle();
+                if (link != null && (oldest == null || link.idleSince() < oldest.idleSince())) {
+                    from = pool;
+                    oldest = link;
+                }
+            }
+        }
+        if (oldest != null) {
+            from.evict(oldest);
+        }
+        return oldest != null;
+    }
+
     /** The most links to one plan server. */
     int mostLinks() {
         return Math.max(4, sockets / Math.max(1, hosts.size()));
--- /dev/null
+++ b/gateway/src/test/java/stonelb/GoneTest.java
@@ -0,0 +1,225 @@
+package stonelb;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lichenbeam.Gateway;
+import lichenbeam.Gateway.Outcome;
+import lichenbeam.Gateway.Phase;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import stonelb.config.Configuration;
+import stonelb.core.Attempt;
+import stonelb.core.Core;
+import stonelb.core.Ports;
+import stonelb.io.Log;
+import stonelb.io.Loop;
+import stonelb.platform.PlatformFront;
+import stonelb.server.ServerLinks;
+import stonelb.standins.Peer;
+import stonelb.standins.Program;
+import stonelb.standins.Program.Client;
+import stonelb.standins.StandIns;
+
+/**
+ * Clients that close their link while their queries wait: no attempt begins more than 0.1 s later, wherever they wait.
+ * The loop is held where the test says, so that each crossing happens.
+ */
+class GoneTest {
+    @TempDir
+    Path folder;
+    private final Log log = new Log(line -> { });
+    private volatile double late;   // added to the clock
+    private final Loop loop = new Loop(log, () -> System.nanoTime() / 1e6 + late);
+    private final BlockingQueue<Attempt> begun = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Attempt> stopped = new LinkedBlockingQueue<>();
+    private final List<String> reached = new CopyOnWriteArrayList<>();   // plan servers, by id
+    private final List<OutputStream> outs = new CopyOnWriteArrayList<>();   // of links to plan servers
+    private volatile Runnable whenBegun = () -> { };
+    private Peer server;
+    private Core core;
+    private PlatformFront front;
+    private int port;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new Peer((in, out) -> {
+            outs.add(out);
+            while (true) {
+                String id = Peer.command(in).get(2);
+                reached.add(id);
+                if (id.equals("next")) {
+                    Peer.write(out, "*1\r\n$4\r\nnext\r\n");
+                }
+            }
+        });
+        try (StandIns around = new StandIns()) {
+            Files.writeString(folder.resolve("config.json"), around.config("127.0.0.1:0", Program.OPEN));
+        }
+        Configuration config = Configuration.read(Map.of("PROXY_CONFIG", folder.resolve("config.json").toString()));
+        ServerLinks links = new ServerLinks(loop, log, 5000, 30_000, 64, 0);
+        Ports.Servers seen = new Ports.Servers() {
+            @Override
+            public void start(Attempt attempt) {
+                begun.add(attempt);
+                links.start(attempt);
+                whenBegun.run();
+            }
+
+            @Override
+            public boolean stop(Attempt attempt) {
+                stopped.add(attempt);
+                return links.stop(attempt);
+            }
+        };
+        onLoop(() -> {
+            core = new Core(config.settings(), 1, loop.timers(), seen, (name, amount, keep) -> { }, e -> { });
+            links.begin(core);
+            for (int id : new int[] {1, 2}) {
+                links.host(id, "s" + id, new InetSocketAddress("127.0.0.1", server.port()), true, 0);
+            }
+            core.servers(Gateway.ListMode.FULL, List.of(new Gateway.Server(1, Phase.READY, 0, 1, 0, 0),
+                    new Gateway.Server(2, Phase.READY, 0, 1, 0, 0)));
+            front = new PlatformFront(loop, log, core, config, 100, () -> true);
+        });
+        port = front.listen(config.listen()).getPort();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        loop.end();
+        server.close();
+    }
+
+    private CompletableFuture<Void> onLoopLater(Runnable step) {
+        return CompletableFuture.runAsync(step, loop::execute);
+    }
+
+    private void onLoop(Runnable step) throws Exception {
+        onLoopLater(step).get(20, TimeUnit.SECONDS);
+    }
+
+    /** Holds the loop until the step outside of it is done, then goes on with the other step. */
+    private void during(Program.Client client, String input, Runnable then) throws Exception {
+        CompletableFuture<Void> held = new CompletableFuture<>();
+        CompletableFuture<Void> gone = new CompletableFuture<>();
+        CompletableFuture<Void> after = onLoopLater(() -> {
+            held.complete(null);
+            gone.join();
+            late += 200;
+            then.run();
+        });
+        held.get(20, TimeUnit.SECONDS);
+        client.write(input);
+        client.close();
+        gone.complete(null);
+        after.get(20, TimeUnit.SECONDS);
+    }
+
+    private static String command(String id) {
+        String[] words = {"Q.ASK", "0000000000000001", id, "c=read,t=open,d=9000,units=1,spread=1,first=0", "x"};
+        StringBuilder text = new StringBuilder("*5\r\n");
+        for (String w : words) {
+            text.append('$').append(w.length()).append("\r\n").append(w).append("\r\n");
+        }
+        return text.toString();
+    }
+
+    /** One more query, of a client that stays: whatever was to reach a plan server before it has. */
+    private void next() throws Exception {
+        try (Client stays = new Client(port)) {
+            stays.write(command("next"));
+            assertEquals("next", Peer.resp(stays.in));
+        }
+    }
+
+    /** Guards against input that is begun though its client's end has come with it. */
+    @Test
+    void whatCameWithTheEndOfItsLinkIsNotBegun() throws Exception {
+        Client client = new Client(port);
+        assertEquals("+PONG", client.ask("PING"));
+        during(client, command("1") + command("2") + command("3"), () -> { });
+        next();
+        assertEquals(List.of("next"), reached);
+        assertEquals(1, begun.size(), "nothing of it was begun");
+    }
+
+    /** Guards against a retry, or an answer of the counter, that the loop comes to before it reads the client's end. */
+    @Test
+    void aFurtherAttemptOfALateLoopWaitsUntilTheEndsOfLinksAreRead() throws Exception {
+        Client client = new Client(port);
+        for (String id : new String[] {"a", "b"}) {   // at once: one to each plan server, which leaves a link to each
+            client.write(command(id));
+        }
+        Program.until("both are out", () -> reached.size() == 2);
+        for (int i = 0; i < 2; i++) {
+            begun.poll(20, TimeUnit.SECONDS);
+            Peer.write(outs.get(i), "*1\r\n$5\r\nvalue\r\n");
+            assertEquals("value", Peer.resp(client.in));
+        }
+        late += 50;   // both links have rested
+        for (int i = 0; i < 3; i++) {
+            onLoop(() -> loop.timers().run());
+        }
+        client.write(command("1"));
+        Attempt first = begun.poll(20, TimeUnit.SECONDS);
+        Program.until("it is out", () -> reached.contains("1"));
+        during(client, "", () -> core.ended(first, Outcome.FULL, null));
+        next();
+        assertEquals(1, reached.stream().filter("1"::equals).count(), "its second attempt has reached no plan server");
+        assertEquals(2, server.connections(), "on either of the links that there are");
+    }
+
+    /** Guards against the end of a link that is not seen while the gateway takes no more of its input. */
+    @Test
+    void theEndOfALinkIsSeenWhileNothingMoreOfItIsTaken() throws Exception {
+        Client client = new Client(port);
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 700; i++) {
+            many.append(command("a" + i));
+        }
+        client.write(many.toString());
+        Attempt first = begun.poll(20, TimeUnit.SECONDS);
+        for (int pass = 0; pass < 100; pass++) {   // of the loop, each of which takes some, until it takes no more
+            CompletableFuture<Void> passed = new CompletableFuture<>();
+            loop.execute(() -> loop.timers().after(0, (now, token) -> passed.complete(null), 0));
+            passed.get(20, TimeUnit.SECONDS);
+        }
+        client.close();
+        assertTrue(stopped.poll(5, TimeUnit.SECONDS) != null, "attempt " + first.number() + " is given up");
+        Program.until("nothing is left", () -> CompletableFuture.supplyAsync(() -> core.open() == 0, loop::execute).get());
+    }
+
+    /** Guards against a query that waits for a connection while its client goes. */
+    @Test
+    void anAttemptThatWaitsForItsConnectionIsNotWritten() throws Exception {
+        Client client = new Client(port);
+        CompletableFuture<Void> held = new CompletableFuture<>();
+        CompletableFuture<Void> gone = new CompletableFuture<>();
+        whenBegun = () -> {
+            whenBegun = () -> { };
+            held.complete(null);
+            gone.join();
+            late += 200;
+        };
+        client.write(command("1"));
+        held.get(20, TimeUnit.SECONDS);
+        client.close();
+        gone.complete(null);
+        next();
+        assertEquals(List.of("next"), reached);
+    }
+}
--- a/gateway/src/test/java/stonelb/HandOverTest.java
+++ b/gateway/src/test/java/stonelb/HandOverTest.java
@@ -39,6 +39,7 @@
     private volatile Double stopped;   // the clock's time, null while it runs
     private final Loop loop = new Loop(log, () -> stopped == null ? System.nanoTime() / 1e6 : stopped);
     private final BlockingQueue<Attempt> sent = new LinkedBlockingQueue<>();
+    private Configuration config;
     private Core core;
     private PlatformFront front;
     private int port;
@@ -48,7 +49,7 @@
         try (StandIns around = new StandIns()) {
             Files.writeString(folder.resolve("config.json"), around.config("127.0.0.1:0", Program.OPEN));
         }
-        Configuration config = Configuration.read(Map.of("PROXY_CONFIG", folder.resolve("config.json").toString()));
+        config = Configuration.read(Map.of("PROXY_CONFIG", folder.resolve("config.json").toString()));
         Ports.Servers links = new Ports.Servers() {
             @Override
             public void start(Attempt attempt) {
@@ -199,6 +200,45 @@
         }
     }
 
+    /** Guards against a link that makes room for another, or is closed as idle, while its client still reads its answer. */
+    @Test
+    void aLinkWhoseAnswerIsUnderWayMakesNoRoomForAnother() throws Exception {
+        byte[] large = new byte[32 << 20];   // more than the buffers of both sockets hold
+        PlatformFront small = new PlatformFront(loop, log, core, config, 1, () -> true);
+        int at = small.listen(config.listen()).getPort();
+        try (Client reads = new Client(at)) {
+            ask(reads, "1");
+            serve(sent.poll(20, TimeUnit.SECONDS), large);
+            try (Client another = new Client(at)) {
+                assertEquals(-1, another.in.read(), "turned away");
+            }
+            assertEquals(large.length, Peer.resp(reads.in).length());
+            ask(reads, "2");
+            serve(sent.poll(20, TimeUnit.SECONDS));
+            assertEquals("value", Peer.resp(reads.in), "and it serves on");
+        }
+    }
+
+    /** Guards against a link that is given up as idle between the first and the last byte of a query. */
+    @Test
+    void aLinkOnWhichAQueryHasJustBegunIsNotIdle() throws Exception {
+        stopped = 1_000_000.0;
+        PlatformFront small = new PlatformFront(loop, log, core, config, 1, () -> true);
+        try (Client client = new Client(small.listen(config.listen()).getPort())) {
+            assertEquals("+PONG", client.ask("PING"));
+            stopped += 2300;   // for long enough to be given up
+            client.write("*5\r\n$4\r\nQ.DO\r\n");
+            CompletableFuture<Void> read = new CompletableFuture<>();
+            loop.execute(() -> loop.timers().after(0, (now, token) -> read.complete(null), 0));
+            read.get(20, TimeUnit.SECONDS);   // between the two the loop reads
+            onLoop(() -> small.due(loop.now(), 0));
+            client.write("$16\r\n0000000000000001\r\n$1\r\n1\r\n$44\r\nc=log,t=open,d=9000,units=1,spread=1,first=0"
+                    + "\r\n$1\r\nx\r\n");
+            serve(sent.poll(20, TimeUnit.SECONDS));
+            assertEquals("value", Peer.resp(client.in));
+        }
+    }
+
     /** Guards against answers after SIGKILL: the loop was busy for long when the signal came, and finds out late. */
     @Test
     void aLoopThatLearnsLateOfTheSignalStillEndsInTime() throws Exception {
--- a/gateway/src/test/java/stonelb/server/ServerLinksTest.java
+++ b/gateway/src/test/java/stonelb/server/ServerLinksTest.java
@@ -1,6 +1,7 @@
 package stonelb.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import java.io.IOException;
@@ -9,10 +10,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import lichenbeam.Gateway.Allowed;
 import lichenbeam.Gateway.Effect;
 import lichenbeam.Gateway.Group;
@@ -48,27 +52,43 @@
 
     /** One plan server, at the listener. */
     private void begin(ServerSocket listener) {
+        begin(listener, 1, 64);
+    }
+
+    /** So many plan servers, all at the listener, and so many sockets for links to them. */
+    private void begin(ServerSocket listener, int servers, int sockets) {
         loop.execute(() -> {
-            ServerLinks links = new ServerLinks(loop, new Log(), 5000, 30_000, 64, 0);
+            ServerLinks links = new ServerLinks(loop, new Log(), 5000, 30_000, sockets, listener.getLocalPort());
             core = new Core(new Settings(1, List.of(new RequestClass(5000, Effect.UNSAFE, Group.ALL, 5000, 3)),
                     List.of(new Plan(0, 0, 0, 0, 0, 1, 0, 1)), new Allowed(6, false, true, true, 1000),
                     new Rules(0.2, 1000, 1500), new lichenbeam.Gateway.Counter(false, 50), 2, false, false, 1), 7,
                     loop.timers(), links, (name, amount, keep) -> { }, e -> answers.add(e.toString()));
             links.begin(core);
-            links.host(1, "s", (InetSocketAddress) listener.getLocalSocketAddress(), true, 0);
-            core.servers(ListMode.FULL, List.of(new Server(1, Phase.READY, 0, 1, 0, 0)));
+            List<Server> list = new ArrayList<>();
+            for (int i = 1; i <= servers; i++) {
+                links.host(i, "s" + i, (InetSocketAddress) listener.getLocalSocketAddress(), true, 0);
+                list.add(new Server(i, Phase.READY, 0, 1, 0, 0));
+            }
+            core.servers(ListMode.FULL, list);
         });
     }
 
     /** One that must never run twice. */
     private final class Unsafe extends Query implements Outbound {
+        private final Kind kind;
+
         Unsafe() {
+            this(Kind.RESP);
+        }
+
+        Unsafe(Kind kind) {
             super(new Terms(0, 0, 5, 1_020_000, 1, 1, false));
+            this.kind = kind;
         }
 
         @Override
         public Kind kind() {
-            return Kind.RESP;
+            return kind;
         }
 
         @Override
@@ -78,7 +98,8 @@
 
         @Override
         protected void served(Reply reply) {
-            answers.add(new String(((RespReply) reply).bytes(), StandardCharsets.US_ASCII));
+            answers.add(new String(reply instanceof HttpReply http ? http.message().body() : ((RespReply) reply).bytes(),
+                    StandardCharsets.US_ASCII));
             whenServed.run();
         }
 
@@ -146,4 +167,68 @@
             assertEquals("second", answers.poll(20, TimeUnit.SECONDS));
         }
     }
+
+    /** Guards against half an answer that is passed on as whole: without a length only the server's own end is its end. */
+    @Test
+    void anAnswerWithoutALengthThatIsResetIsNotServed() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            listener.setSoTimeout(20_000);
+            runsSince = System.nanoTime();
+            begin(listener);
+            for (boolean reset : new boolean[] {false, true}) {
+                loop.execute(() -> core.query(new Unsafe(Outbound.Kind.HTTP)));
+                try (Socket s = listener.accept()) {
+                    assertEquals('x', s.getInputStream().read());
+                    Peer.write(s.getOutputStream(), "HTTP/1.1 200 OK\r\n\r\npart");
+                    CompletableFuture<Void> read = new CompletableFuture<>();
+                    loop.execute(() -> loop.timers().after(0, (now, token) -> read.complete(null), 0));
+                    read.get(20, TimeUnit.SECONDS);   // between the two the loop reads
+                    s.setSoLinger(reset, 0);
+                }
+                assertEquals(reset ? "failed" : "part", answers.poll(20, TimeUnit.SECONDS));
+            }
+        }
+    }
+
+    /** Guards against links to many plan servers that take the descriptors of discovery and the counter. */
+    @Test
+    void linksToManyPlanServersKeepToTheirPartOfTheSockets() throws Exception {
+        AtomicInteger most = new AtomicInteger();
+        int sockets = 6;
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            AtomicInteger open = new AtomicInteger();
+            Thread accepts = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket s = listener.accept();
+                        most.accumulateAndGet(open.incrementAndGet(), Math::max);
+                        Thread serves = new Thread(() -> {
+                            try (s) {
+                                while (s.getInputStream().read() >= 0) {
+                                    Peer.write(s.getOutputStream(), "-ERR failed\r\n");   // and the next goes elsewhere
+                                }
+                            } catch (IOException e) {
+                                // ended by the gateway, as it may
+                            }
+                            open.decrementAndGet();
+                        });
+                        serves.setDaemon(true);
+                        serves.start();
+                    }
+                } catch (IOException e) {
+                    // the test has ended
+                }
+            });
+            accepts.setDaemon(true);
+            accepts.start();
+            runsSince = System.nanoTime();
+            begin(listener, 40, sockets);
+            for (int i = 0; i < 60; i++) {
+                loop.execute(() -> core.query(new Unsafe()));
+                assertEquals("failed", answers.poll(20, TimeUnit.SECONDS));
+            }
+            // An end that the gateway has made may not have been seen there yet.
+            assertTrue(most.get() <= 2 * sockets, most.get() + " links at a time, for " + sockets);
+        }
+    }
 }
