Keep the port open until a hand-over ends, and refuse what comes again after the last moment

In that step HandOver.end ended every link that was left and Front.finishIdle closed the port. What clients had written to those links just then crossed the end; it is not read, so that it comes again, and its client found the port closed. Ruled out: an answer of ours that came late (all open ones were answered in that step; the loss is of later queries); a query read and thrown away (a link that has ended is not read, HandOverTest). Now: the port is open until the program ends, as late as before (0.25 s over the longest deadline); after the last moment a query that comes is refused at once, with the end of its link. HandOverTest.aQueryThatComesAgainAfterTheLastMoment fails with the port closed as before.

--- a/gateway/src/main/java/stonelb/HandOver.java
+++ b/gateway/src/main/java/stonelb/HandOver.java
@@ -15,9 +15,10 @@
     private static final double LONGEST_MS = 3000;  // after SIGTERM: no deadline counts for longer
     private static final double LEAVE_MS = 500;     // before that each link begins to end with its next answer,
     private static final double IDLE_MS = 100;      // and before that those on which nothing is asked
-    // Over that, all is answered. SIGKILL may come 0.7 s over it; the signal is learnt of up to 0.42 s late on a small
-    // share of a core, and the last answers need a moment on their way.
-    private static final double ANSWER_MS = 50;
+    private static final double ANSWER_MS = 50;     // over that, all is answered, and what still comes at once
+    // The program ends so long over that. SIGKILL may come 0.7 s over it; the signal is learnt of up to 0.42 s late on a
+    // small share of a core.
+    private static final double EXIT_MS = 250;
     private static final double STEP_MS = 2;        // in which the loop reads what has come
 
     private final Loop loop;
@@ -49,17 +50,20 @@
         loop.timers().at(asked + longestMs - IDLE_MS, (now, token) -> end(now), 0);
     }
 
+    /**
+     * The port stays open until the program ends. Guards against a query that crosses the end of its link: its client
+     * sends it again, and finds nobody where the port is closed.
+     */
     private void end(double now) {
         boolean late = now - asked > longestMs + ANSWER_MS;
         if (late && !answered) {
             answered = true;
             log.say("hand-over: " + core.open() + " queries are answered unserved");
-        }
-        if (late) {
-            core.finishAll();   // each time, for what was read meanwhile
+            fronts.forEach(Front::refuse);
+            core.finishAll();
         }
         fronts.forEach(f -> f.finishIdle(late));
-        if (fronts.stream().allMatch(Front::empty)) {
+        if (now - asked > longestMs + EXIT_MS || fronts.stream().allMatch(Front::empty)) {
             log.say("hand-over done");
             over.run();
         } else {
--- a/gateway/src/main/java/stonelb/front/Front.java
+++ b/gateway/src/main/java/stonelb/front/Front.java
@@ -34,8 +34,8 @@
     private final Set<FrontLink> links = new LinkedHashSet<>();
     private final Set<FrontLink> unheard = new LinkedHashSet<>();   // have asked nothing whole yet, oldest first
     private final Set<FrontLink> idle = new LinkedHashSet<>();      // have asked and have nothing open, longest first
-    private volatile Channel listener;   // null until it listens
     private boolean leaving;   // each link ends with its next answer
+    private boolean refuses;   // and that is a refusal
     private long bytes;
     private long unread;
 
@@ -50,7 +50,7 @@
     protected abstract FrontLink accept(Log log);
 
     public final InetSocketAddress listen(InetSocketAddress at) throws InterruptedException {
-        listener = loop.listen(at, () -> (ChannelHandler) accept(log));
+        Channel listener = loop.listen(at, () -> (ChannelHandler) accept(log));
         loop.execute(() -> loop.timers().after(SWEEP_MS, this, 0));
         return (InetSocketAddress) listener.localAddress();
     }
@@ -147,7 +147,7 @@
     }
 
     final boolean admits(FrontQuery query) {
-        return core.open() < mostOpen && bytes + query.size() <= MOST_BYTES;
+        return !refuses && core.open() < mostOpen && bytes + query.size() <= MOST_BYTES;
     }
 
     final void begin(FrontQuery query) {
@@ -194,15 +194,21 @@
         return leaving;
     }
 
+    /** Nothing more is begun: what still comes is throttled at once. */
+    public final void refuse() {
+        refuses = true;
+    }
+
+    final boolean refuses() {
+        return refuses;
+    }
+
     /**
      * Ends links on which nothing is owed, longest idle first and few at a time. Guards against a query that comes
      * while others are ended: between two calls all input that has come is read, and its link is idle no more. Part
-     * of a message may become whole, and new links come, until {@code all} are to end.
+     * of a message may become whole until {@code all} are to end.
      */
     public final void finishIdle(boolean all) {
-        if (all && listener != null) {
-            listener.close();
-        }
         int most = all ? links.size() : 1 + links.size() / SHARE;
         List<FrontLink> resting = new ArrayList<>(idle);
         resting.addAll(unheard);
--- a/gateway/src/main/java/stonelb/front/FrontLink.java
+++ b/gateway/src/main/java/stonelb/front/FrontLink.java
@@ -134,7 +134,9 @@
         if (front.admits(query)) {
             front.begin(query);
         } else {
-            log.warn("too many open queries", "throttled until some are answered");
+            if (!front.refuses()) {
+                log.warn("too many open queries", "throttled until some are answered");
+            }
             query.throttle();
         }
     }
--- a/gateway/src/test/java/stonelb/HandOverTest.java
+++ b/gateway/src/test/java/stonelb/HandOverTest.java
@@ -200,6 +200,24 @@
         }
     }
 
+    /** The same once all links have ended: there is no time to serve it, and a refusal sends it elsewhere. */
+    @Test
+    void aQueryThatComesAgainAfterTheLastMomentIsRefusedAtOnce() throws Exception {
+        try (Client client = met()) {
+            onLoop(() -> {
+                stopped = loop.now();   // what is due later never comes
+                new HandOver(loop, log, core, List.of(front), List.of(9000.0), () -> { }).begin(loop.now() - 3100);
+            });
+            assertEquals(-1, client.in.read());
+            try (Client again = new Client(port)) {
+                ask(again, "1");
+                assertEquals("-BUSY 500", Peer.resp(again.in));
+                assertEquals(-1, again.in.read(), "it ends with its answer");
+            }
+            assertEquals(0, sent.size());
+        }
+    }
+
     /** Guards against a link that makes room for another, or is closed as idle, while its client still reads its answer. */
     @Test
     void aLinkWhoseAnswerIsUnderWayMakesNoRoomForAnother() throws Exception {
