Let a call saved up for a cold plan server lapse after its window, not after a quarter of it

A gateway there gets some two queries a second that a cold server can answer in their aim, so a saved call often lapsed within 0.375 s with no query to spend it (Choice.Srv.warmEnough). ColdFleetTest holds with 20, 30 and 100.

--- a/decision/src/main/java/lichenbeam/Choice.java
+++ b/decision/src/main/java/lichenbeam/Choice.java
@@ -863,7 +863,7 @@
             }
             double per = Math.max(fleet.warmRate, 1e-3 / gateways) * capacity(now);
             budget += per * (now - budgetAt);
-            budget -= Math.max(0, Math.ceil(budget - 1 - per * set.rules().fallMs() / 4));
+            budget -= Math.max(0, Math.ceil(budget - 1 - Math.min(1, per * set.rules().fallMs())));
             budgetAt = now;
             return budget >= 1;
         }
