--- a/core/src/main/java/stonelb/core/AttemptSettlement.java
+++ b/core/src/main/java/stonelb/core/AttemptSettlement.java
@@ -15,6 +15,7 @@
     private final TimerQueue timers;
     private final EndpointConnector endpointConnector;
     private final OpenRequests requests;
+    private final FinalResponses finalResponses;
     private final DecisionEngine engine;
     private final EngineInvoker invoker;
     private final ArrayDeque<Attempt> finishedAttempts = new ArrayDeque<>();
@@ -25,12 +26,14 @@
             TimerQueue timers,
             EndpointConnector endpointConnector,
             OpenRequests requests,
+            FinalResponses finalResponses,
             DecisionEngine engine,
             EngineInvoker invoker) {
         this.settings = settings;
         this.timers = timers;
         this.endpointConnector = endpointConnector;
         this.requests = requests;
+        this.finalResponses = finalResponses;
         this.engine = engine;
         this.invoker = invoker;
     }
@@ -72,9 +75,8 @@
         if (request.attemptInFlight == attempt) {
             request.attemptInFlight = null;
         }
-        if (attempt.outcome == Outcome.OK && !request.done) {
-            requests.markDone(request);
-            request.served(attempt.response);
+        if (attempt.outcome == Outcome.OK) {
+            finalResponses.give(request, () -> request.served(attempt.response));
         }
         double now = timers.now();
         invoker.runReportingFaults(() -> engine.attemptEnded(now, resultOf(attempt, now)));
--- a/core/src/main/java/stonelb/core/ClientRequest.java
+++ b/core/src/main/java/stonelb/core/ClientRequest.java
@@ -32,6 +32,14 @@
         return done;
     }
 
+    /**
+     * Whether a disconnect of its client would be noticed now. Where it may go unnoticed, as while the client's input is
+     * not read, no attempt is started.
+     */
+    protected boolean isClientWatched() {
+        return true;
+    }
+
     /** Final response: that of an endpoint. */
     protected abstract void served(Response response);
 
--- a/core/src/main/java/stonelb/core/RequestTable.java
+++ b/core/src/main/java/stonelb/core/RequestTable.java
@@ -34,6 +34,7 @@
     private final EndpointStates endpointStates = new EndpointStates();
     private final EngineInvoker invoker;
     private final DecisionEngine engine;
+    private final FinalResponses finalResponses;
     private final AttemptSettlement settlement;
 
     /**
@@ -55,7 +56,9 @@
         this.quotaCounter = quotaCounter;
         invoker = new EngineInvoker(faultListener, this::deliverPending);
         engine = new DefaultDecisionEngine(timers.now(), settings, seed, this);
-        settlement = new AttemptSettlement(settings, timers, endpointConnector, requests, engine, invoker);
+        finalResponses = new FinalResponses(requests, invoker);
+        settlement =
+                new AttemptSettlement(settings, timers, endpointConnector, requests, finalResponses, engine, invoker);
         invoker.enable();
     }
 
@@ -124,12 +127,14 @@
     }
 
     /**
-     * Whether an attempt may still be sent. Connections ask immediately before the write, since an attempt may have
-     * waited for a connection while its endpoint began to drain or its request was answered.
+     * Whether an attempt may be written, the one place that permits it. Connections ask directly before the write, since
+     * an attempt may have waited for a connection while its endpoint began to drain, its request was answered, its
+     * deadline passed or its client disconnected.
      */
     public boolean maySend(Attempt attempt) {
         return !attempt.finished
                 && !attempt.request().done
+                && attempt.request().isClientWatched()
                 && now() < attempt.deadline()
                 && endpointStates.isReady(attempt.endpoint());
     }
@@ -195,9 +200,13 @@
         endpointConnector.send(attempt);
     }
 
-    /** No attempt after the final response, and no second one in flight unless hedging is allowed. */
+    /**
+     * No attempt after the final response or where a disconnect of the client could go unnoticed, and no second one in
+     * flight unless hedging is allowed.
+     */
     private boolean mayStartAttempt(ClientRequest request) {
         return !request.done
+                && request.isClientWatched()
                 && (request.attemptInFlight == null || settings.attemptLimits().hedging());
     }
 
@@ -212,21 +221,18 @@
     @Override
     public void reject(long id, double retryAfterMs) {
         ClientRequest request = requests.get(id);
-        if (request != null && !request.done) {
-            requests.markDone(request);
-            request.rejected(retryAfterMs);
-            requests.removeIfComplete(request);
+        if (request != null) {
+            finalResponses.give(request, () -> request.rejected(retryAfterMs));
         }
     }
 
     @Override
     public void fail(long id) {
         ClientRequest request = requests.get(id);
-        if (request != null && !request.done) {
-            requests.markDone(request);
+        if (request != null) {
             boolean late = now() >= request.attributes().deadlineMs() - 2 * RESPONSE_MARGIN_MS;
-            request.failed(late ? FailureReason.DEADLINE_EXCEEDED : FailureReason.ERROR);
-            requests.removeIfComplete(request);
+            FailureReason reason = late ? FailureReason.DEADLINE_EXCEEDED : FailureReason.ERROR;
+            finalResponses.give(request, () -> request.failed(reason));
         }
     }
 
--- a/core/src/main/java/stonelb/io/Connection.java
+++ b/core/src/main/java/stonelb/io/Connection.java
@@ -20,6 +20,7 @@
 
     private Channel channel;
     private boolean closed;
+    private int readsInTurn;
 
     /** Closed by this side, by a reset or by a failed write: not by the peer's regular end of its output. */
     private boolean aborted;
@@ -40,6 +41,13 @@
      */
     protected abstract void onReceived() throws MalformedInputException;
 
+    /**
+     * Called after the reads of one turn of the event loop.
+     *
+     * @param drained whether all input that had arrived was read; if not, the next turn goes on reading
+     */
+    protected void onReadComplete(boolean drained) {}
+
     /** Called when the input breaks the protocol or the limit of the buffer. */
     protected abstract void onMalformed(String reason);
 
@@ -92,6 +100,7 @@
     @Override
     public final void channelRead(ChannelHandlerContext context, Object message) {
         ByteBuf bytes = (ByteBuf) message;
+        readsInTurn++;
         try {
             if (!closed) {
                 in.append(bytes);
@@ -104,6 +113,15 @@
         }
     }
 
+    @Override
+    public final void channelReadComplete(ChannelHandlerContext context) {
+        boolean drained = readsInTurn < EventLoop.MAX_READS_PER_TURN;
+        readsInTurn = 0;
+        if (!closed) {
+            onReadComplete(drained);
+        }
+    }
+
     @Override
     public final void channelInactive(ChannelHandlerContext context) {
         if (!closed) {
--- a/core/src/main/java/stonelb/io/EventLoop.java
+++ b/core/src/main/java/stonelb/io/EventLoop.java
@@ -3,7 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -13,8 +13,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.net.InetSocketAddress;
@@ -24,11 +22,11 @@
 import stonelb.core.TimerQueue;
 
 /** The single event-loop thread, to which all connections and timers belong, with the clock and alarm of its timers. */
-public final class EventLoop implements TimerQueue.Alarm {
+public final class EventLoop implements TimerQueue.Alarm, InputClock {
     private static final int READ_BYTES = 16 * 1024;
 
     /** Reads of one connection before the others have their turn. */
-    private static final int MAX_READS_PER_TURN = 8;
+    static final int MAX_READS_PER_TURN = 8;
 
     private static final int LISTEN_BACKLOG = 512;
     private static final long SHUTDOWN_TIMEOUT_MS = 1000;
@@ -37,10 +35,12 @@
     private final EventLoopGroup loopGroup = new MultiThreadIoEventLoopGroup(1, this::createIoHandler);
     private final io.netty.channel.EventLoop nettyLoop = loopGroup.next();
     private final DoubleSupplier clock;
+    private final ChannelProvider channels;
     private final TimerQueue timers = new TimerQueue(this);
     private final RateLimitedLog log;
     private ScheduledFuture<?> alarm;
     private double lastReadAt;
+    private long completedReads;
 
     /** Creates a loop on the system's clock: Unix time in milliseconds, which never steps back. */
     public EventLoop(RateLimitedLog log) {
@@ -49,8 +49,14 @@
 
     /** Creates a loop on a clock that gives milliseconds. */
     public EventLoop(RateLimitedLog log, DoubleSupplier clock) {
+        this(log, clock, new NioChannelProvider());
+    }
+
+    /** Creates a loop on a clock that gives milliseconds, with channels of the provider. */
+    public EventLoop(RateLimitedLog log, DoubleSupplier clock, ChannelProvider channels) {
         this.log = log;
         this.clock = clock;
+        this.channels = channels;
     }
 
     private static DoubleSupplier systemClock() {
@@ -60,14 +66,24 @@
 
     private IoHandler createIoHandler(ThreadAwareExecutor executor) {
         IoHandler nio = NioIoHandler.newFactory().newHandler(executor);
-        return new NotifyingIoHandler(nio, () -> lastReadAt = now());
+        return new InputTimeIoHandler(nio, this::onInputRead);
+    }
+
+    private void onInputRead(double tookMs) {
+        lastReadAt = now() - tookMs;
+        completedReads++;
     }
 
-    /** When all input that had arrived was last read. Input that came later waits, and so do ends of connections. */
+    @Override
     public double lastReadAt() {
         return lastReadAt;
     }
 
+    @Override
+    public long completedReads() {
+        return completedReads;
+    }
+
     /** The timers, which run on this thread. */
     public TimerQueue timers() {
         return timers;
@@ -112,18 +128,27 @@
         }
     }
 
-    /** Opens a connection; {@code onResult} is told whether that succeeded. */
-    public void connect(
-            InetSocketAddress address, int timeoutMs, ChannelHandler connection, ChannelFutureListener onResult) {
-        new Bootstrap()
+    /** Opens a connection; {@code listener} is told whether that succeeded. */
+    public void connect(InetSocketAddress address, int timeoutMs, ChannelHandler connection, ConnectListener listener) {
+        ChannelFuture connecting = new Bootstrap()
                 .group(nettyLoop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(channels::newSocketChannel)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
                 .handler(connection)
-                .connect(address)
-                .addListener(onResult);
+                .connect(address);
+        // After Netty's own task, which makes the call. A future without a socket has no event loop and would notify
+        // its listeners on a thread of Netty's.
+        nettyLoop.execute(() -> notifyResult(connecting, listener));
+    }
+
+    private static void notifyResult(ChannelFuture connecting, ConnectListener listener) {
+        if (connecting.isDone()) {
+            listener.onConnectResult(new ConnectResult(connecting.cause(), true));
+        } else {
+            connecting.addListener(result -> listener.onConnectResult(new ConnectResult(result.cause(), false)));
+        }
     }
 
     /**
@@ -134,7 +159,8 @@
     public Channel listen(InetSocketAddress address, Supplier<ChannelHandler> connections) throws InterruptedException {
         return new ServerBootstrap()
                 .group(nettyLoop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(channels::newServerSocketChannel)
+                .handler(new AcceptFailureHandler(log))
                 .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
--- /dev/null
+++ b/core/src/main/java/stonelb/io/NioChannelProvider.java
@@ -0,0 +1,19 @@
+package stonelb.io;
+
+import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/** Creates channels on the sockets of the system. */
+final class NioChannelProvider implements ChannelProvider {
+    @Override
+    public SocketChannel newSocketChannel() {
+        return new NioSocketChannel();
+    }
+
+    @Override
+    public ServerSocketChannel newServerSocketChannel() {
+        return new NioServerSocketChannel();
+    }
+}
--- a/core/src/test/java/stonelb/core/RequestTableTest.java
+++ b/core/src/test/java/stonelb/core/RequestTableTest.java
@@ -79,14 +79,24 @@
     /** Records its final responses. */
     private static final class RecordingRequest extends ClientRequest {
         final List<String> responses = new ArrayList<>();
+        boolean responseThrows;
+        boolean clientWatched = true;
 
         RecordingRequest(RequestAttributes attributes) {
             super(attributes);
         }
 
+        @Override
+        protected boolean isClientWatched() {
+            return clientWatched;
+        }
+
         @Override
         protected void served(Response response) {
             responses.add("served");
+            if (responseThrows) {
+                throw new IllegalStateException("a fault of the frontend");
+            }
         }
 
         @Override
@@ -225,6 +235,38 @@
         assertEquals(1, started.size(), "the next request is served");
     }
 
+    @Test
+    void aResponseThatCannotBeGivenCostsNoOtherRequestItsOwn() {
+        listEndpoints(2);
+        RecordingRequest broken = submit(READ, 4000);
+        RecordingRequest other = submit(READ, 4000);
+        broken.responseThrows = true;
+        requestTable.attemptEnded(started.get(0), Outcome.OK, null);
+        requestTable.attemptEnded(started.get(1), Outcome.OK, null);
+        assertEquals(List.of("served"), broken.responses);
+        assertEquals(List.of("served"), other.responses);
+        assertEquals(1, faults.size());
+        assertEquals(0, requestTable.openRequests());
+        assertEquals("served", submitAndServe().responses.get(0), "the slots of both are free again");
+    }
+
+    private RecordingRequest submitAndServe() {
+        RecordingRequest request = submit(READ, 4000);
+        requestTable.attemptEnded(started.get(started.size() - 1), Outcome.OK, null);
+        return request;
+    }
+
+    @Test
+    void noAttemptIsStartedOrSentWhileADisconnectOfTheClientCouldGoUnnoticed() {
+        listEndpoints(2);
+        RecordingRequest request = submit(READ, 4000);
+        request.clientWatched = false;
+        assertFalse(requestTable.maySend(started.get(0)));
+        requestTable.attemptEnded(started.get(0), Outcome.REJECTED, null);
+        assertEquals(1, started.size(), "no retry");
+        assertEquals(List.of("rejected"), request.responses);
+    }
+
     @Test
     void allOpenRequestsAreCompletedAndALogThatMayHaveRunIsNotRejected() {
         listEndpoints(2);
--- a/gateway/src/main/java/stonelb/gateway/GracefulShutdown.java
+++ b/gateway/src/main/java/stonelb/gateway/GracefulShutdown.java
@@ -35,6 +35,9 @@
      */
     private static final double EXIT_MS = 250;
 
+    /** So long after that, it exits although responses are still owed. */
+    private static final double MAX_EXIT_DELAY_MS = 20;
+
     /** Between two checks; the event loop reads all input meanwhile. */
     private static final double CHECK_INTERVAL_MS = 2;
 
@@ -99,10 +102,21 @@
         }
         frontends.forEach(frontend -> frontend.finishIdle(timeLimitReached));
         if (elapsedMs > drainMs + EXIT_MS || frontends.stream().allMatch(Frontend::empty)) {
+            frontends.forEach(Frontend::stopReading);
+            loop.timers().scheduleAfter(0, (next, token) -> exitOnceAnswered(next), 0);
+        } else {
+            loop.timers().scheduleAfter(CHECK_INTERVAL_MS, (next, token) -> closeConnections(next), 0);
+        }
+    }
+
+    /** What was read up to now is answered before the program exits, since the exit ends all connections. */
+    private void exitOnceAnswered(double now) {
+        boolean late = now - signalledAt > drainMs + EXIT_MS + MAX_EXIT_DELAY_MS;
+        if (late || frontends.stream().noneMatch(Frontend::owesResponses)) {
             log.info("graceful shutdown complete");
             onComplete.run();
         } else {
-            loop.timers().scheduleAfter(CHECK_INTERVAL_MS, (next, token) -> closeConnections(next), 0);
+            loop.timers().scheduleAfter(CHECK_INTERVAL_MS, (next, token) -> exitOnceAnswered(next), 0);
         }
     }
 
--- a/gateway/src/main/java/stonelb/gateway/WarmUp.java
+++ b/gateway/src/main/java/stonelb/gateway/WarmUp.java
@@ -28,6 +28,7 @@
 import stonelb.http.HttpParser;
 import stonelb.io.EventLoop;
 import stonelb.io.InputBuffer;
+import stonelb.io.InputClock;
 import stonelb.io.MalformedInputException;
 import stonelb.io.RateLimitedLog;
 
@@ -91,6 +92,24 @@
         return requestsServed;
     }
 
+    /** Synthetic input arrives when it is read. */
+    private final class SyntheticInput implements InputClock {
+        @Override
+        public double now() {
+            return loop.now();
+        }
+
+        @Override
+        public double lastReadAt() {
+            return loop.now();
+        }
+
+        @Override
+        public long completedReads() {
+            return requestsSent;
+        }
+    }
+
     private void run(RateLimitedLog log) throws MalformedInputException {
         TimerQueue timers = new TimerQueue(new TimerQueue.Alarm() {
             @Override
@@ -105,7 +124,8 @@
             throw e;
         });
         requests.endpointsChanged(EndpointListType.SNAPSHOT, endpoints());
-        PlatformFrontend frontend = new PlatformFrontend(loop, log, requests, config, 1, () -> true);
+        PlatformFrontend frontend =
+                new PlatformFrontend(loop, new SyntheticInput(), log, requests, config, 1, () -> true);
         EmbeddedChannel client = new EmbeddedChannel(frontend.accept(log));
         double startedAt = loop.now();
         while (requestsSent < MAX_REQUESTS && loop.now() - startedAt < MAX_DURATION_MS) {
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
@@ -113,13 +113,14 @@
      *
      * @param outcome how the attempt ended
      * @param response the response to forward, or null unless the outcome is OK
-     * @param reusable whether the connection can carry another attempt; it is closed if not
+     * @param reusable whether the connection can carry another attempt; it is closed if not, and if the response came
+     *     before the whole request was written, since the rest would precede the next request
      */
     protected final void completeAttempt(Outcome outcome, Response response, boolean reusable) {
         Attempt completed = attempt;
         attempt = null;
         completed.connection(null);
-        if (!reusable) {
+        if (!reusable || !isRequestWritten()) {
             close();
         } else if (isOpen()) {
             idleSince = pool.now();
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
@@ -1,16 +1,22 @@
 package stonelb.gateway.endpoint;
 
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import stonelb.core.Attempt;
 import stonelb.core.Response;
 import stonelb.decision.Outcome;
+import stonelb.io.ConnectListener;
+import stonelb.io.ConnectResult;
 
 /** The connections to one endpoint in one protocol, and the attempts that wait for one. */
-final class EndpointConnectionPool implements ChannelFutureListener {
+final class EndpointConnectionPool implements ConnectListener {
+    /** Connects that fail here, and not at the endpoint, are repeated so often before an attempt fails by them. */
+    private static final int MAX_LOCAL_FAILURES = 3;
+
+    /** Before the first repetition; doubles with each. */
+    private static final double LOCAL_FAILURE_PAUSE_MS = 5;
+
     private final EndpointConnections connections;
     private final OutboundRequest.Protocol protocol;
     private final String endpointName;
@@ -21,6 +27,8 @@
     private int openCount;
 
     private int connectingCount;
+    /** Connects in a row that failed here, and not at the endpoint. */
+    private int localFailures;
     /** Incremented when another process, or another address, takes over the endpoint's name. */
     private int incarnation;
 
@@ -68,12 +76,22 @@
     /** Sends the attempt on an idle connection, or has it wait for a new one. */
     void send(Attempt attempt) {
         EndpointConnection connection = takeIdleConnection(attempt.isIdempotent());
-        if (connection != null) {
-            connection.send(attempt);
-        } else {
+        if (connection == null) {
             waitingAttempts.add(attempt);
             connectIfNeeded();
+        } else if (!sendOn(connection, attempt)) {
+            idleConnections.addLast(connection);
+        }
+    }
+
+    /** The one place where an attempt is written, if it still may be; returns whether it was. */
+    private boolean sendOn(EndpointConnection connection, Attempt attempt) {
+        if (!connections.maySend(attempt)) {
+            connections.attemptEnded(attempt, Outcome.NOT_SENT, null);
+            return false;
         }
+        connection.send(attempt);
+        return true;
     }
 
     /** Gives up the attempt. Returns whether its request may be executed. */
@@ -105,14 +123,13 @@
         return null;
     }
 
+    /** Opens a connection if an attempt waits for one that is not being opened yet. */
     private void connectIfNeeded() {
-        if (connectingCount >= waitingAttempts.size() || openCount >= connections.maxConnectionsPerEndpoint()) {
+        if (!needsConnection()) {
             return;
         }
         if (!connections.ensureCapacity()) {
-            if (openCount == 0) { // no connection will become idle for it, and its request was never sent
-                connections.attemptEnded(waitingAttempts.poll(), Outcome.CONNECT_FAILED, null);
-            }
+            connections.awaitCapacity(this);
             return;
         }
         openCount++;
@@ -121,6 +138,21 @@
         connections.connect(address, newConnection(), this);
     }
 
+    private boolean needsConnection() {
+        return connectingCount < waitingAttempts.size() && openCount < connections.maxConnectionsPerEndpoint();
+    }
+
+    /**
+     * One more connection may be opened, or one to another endpoint is idle and can make room.
+     *
+     * @return whether this pool needs it
+     */
+    boolean useCapacity() {
+        boolean needed = needsConnection();
+        connectIfNeeded();
+        return needed;
+    }
+
     private EndpointConnection newConnection() {
         return protocol == OutboundRequest.Protocol.RESP
                 ? new RespEndpointConnection(this, connections.log())
@@ -129,12 +161,33 @@
 
     /** The result of a connect; success is reported through {@link #connectionReady} instead. */
     @Override
-    public void operationComplete(ChannelFuture connect) {
-        if (!connect.isSuccess()) {
+    public void onConnectResult(ConnectResult result) {
+        if (result.isSuccess()) {
+            return;
+        }
+        if (result.isLocalFailure() && localFailures < MAX_LOCAL_FAILURES) {
+            repeatConnect(result.cause());
+        } else {
+            localFailures = 0;
             connectFailed();
         }
     }
 
+    /**
+     * Repeats a connect whose failure tells nothing of the endpoint. Without the pause, a request would use up all its
+     * attempts in one instant.
+     */
+    private void repeatConnect(Throwable cause) {
+        connections.log().warn("connection not opened", endpointName + ", " + cause.getMessage());
+        openCount--;
+        connections.addToOpenCount(-1);
+        double pauseMs = LOCAL_FAILURE_PAUSE_MS * (1 << localFailures++);
+        connections.scheduleAfter(pauseMs, (now, token) -> {
+            connectingCount--;
+            connectIfNeeded();
+        });
+    }
+
     /** A connection could not be opened, or was closed before anything could be written to it. */
     void connectFailed() {
         openCount--;
@@ -146,6 +199,7 @@
             connections.attemptEnded(attempt, Outcome.CONNECT_FAILED, null);
         }
         connectIfNeeded();
+        connections.capacityAvailable();
     }
 
     /** See {@link IdleReuseLimit}. */
@@ -185,6 +239,7 @@
     /** A new connection has passed its quiet period. */
     void connectionReady(EndpointConnection connection) {
         connectingCount--;
+        localFailures = 0;
         connectionIdle(connection);
     }
 
@@ -195,13 +250,12 @@
             return;
         }
         for (Attempt attempt = waitingAttempts.poll(); attempt != null; attempt = waitingAttempts.poll()) {
-            if (connections.maySend(attempt)) {
-                connection.send(attempt);
+            if (sendOn(connection, attempt)) {
                 return;
             }
-            connections.attemptEnded(attempt, Outcome.NOT_SENT, null);
         }
         idleConnections.addLast(connection);
+        connections.capacityAvailable();
     }
 
     void connectionClosed(EndpointConnection connection) {
@@ -209,6 +263,7 @@
         connections.addToOpenCount(-1);
         idleConnections.remove(connection);
         connectIfNeeded();
+        connections.capacityAvailable();
     }
 
     void attemptEnded(Attempt attempt, Outcome outcome, Response response) {
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
@@ -1,8 +1,8 @@
 package stonelb.gateway.endpoint;
 
-import io.netty.channel.ChannelFutureListener;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import stonelb.core.Attempt;
@@ -12,6 +12,7 @@
 import stonelb.core.TimerCallback;
 import stonelb.decision.Outcome;
 import stonelb.discovery.AddressListener;
+import stonelb.io.ConnectListener;
 import stonelb.io.EventLoop;
 import stonelb.io.RateLimitedLog;
 
@@ -40,6 +41,9 @@
     private final int httpPort;
     private final IdleReuseLimit idleReuseLimit;
     private final Map<Long, KnownEndpoint> endpoints = new HashMap<>();
+    /** Pools whose attempts wait for a connection that the limit did not allow, longest wait first. */
+    private final Set<EndpointConnectionPool> poolsAwaitingCapacity = new LinkedHashSet<>();
+
     private RequestTable requests;
     /** Connections to all endpoints that are open or being opened. */
     private int openCount;
@@ -234,12 +238,28 @@
         return oldest != null;
     }
 
+    /** Has the pool called once another connection may be opened. Its attempts wait meanwhile, up to their deadlines. */
+    void awaitCapacity(EndpointConnectionPool pool) {
+        poolsAwaitingCapacity.add(pool);
+    }
+
+    /** A connection has been closed or is idle: the pool that has waited longest may open one in its place. */
+    void capacityAvailable() {
+        while (!poolsAwaitingCapacity.isEmpty()) {
+            EndpointConnectionPool pool = poolsAwaitingCapacity.iterator().next();
+            poolsAwaitingCapacity.remove(pool);
+            if (pool.useCapacity()) {
+                return;
+            }
+        }
+    }
+
     int maxConnectionsPerEndpoint() {
         return Math.max(MIN_CONNECTIONS_PER_ENDPOINT, maxConnections / Math.max(1, endpoints.size()));
     }
 
-    void connect(InetSocketAddress address, EndpointConnection connection, ChannelFutureListener onResult) {
-        loop.connect(address, connectTimeoutMs, connection, onResult);
+    void connect(InetSocketAddress address, EndpointConnection connection, ConnectListener listener) {
+        loop.connect(address, connectTimeoutMs, connection, listener);
     }
 
     boolean maySend(Attempt attempt) {
--- a/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
@@ -2,10 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
-import java.util.ArrayDeque;
 import stonelb.io.Connection;
 import stonelb.io.MalformedInputException;
 import stonelb.io.RateLimitedLog;
@@ -13,41 +11,36 @@
 /**
  * A connection from a client to a frontend. Responses are written in the order of the requests.
  *
- * <p>Input is buffered as it comes and decoded in a later task of the event loop, after all connections have been read:
- * so a client's disconnect is seen before any request that came ahead of it is submitted.
+ * <p>What was read as a request is answered, whatever ends the connection but its client: the output is shut down only
+ * when reading has stopped, and all responses are written and taken by the socket. What has not been read is left to the
+ * socket, so that the close resets the connection and the client sends it again.
  */
-public abstract class ClientConnection extends Connection implements ChannelFutureListener {
+public abstract class ClientConnection extends Connection implements ResponseWriter.Output {
     private static final int MAX_INPUT_BYTES = 256 * 1024;
 
     /** Requests without a response; more are decoded once some have theirs. */
     private static final int MAX_PENDING_RESPONSES = 512;
 
-    /** Bytes buffered and not decoded before reading pauses; holds the largest part of a message. */
-    private static final int READ_AHEAD_BYTES = 128 * 1024;
-
-    /** The same while the frontend is under memory pressure. */
-    private static final int READ_AHEAD_UNDER_PRESSURE_BYTES = 16 * 1024;
-
     /** For decoding at a time, before the event loop reads all connections again. */
     private static final double DECODE_TIME_SLICE_MS = 10;
 
-    private static final int INITIAL_RESPONSE_BUFFER_BYTES = 512;
-    private static final double NO_PARTIAL_MESSAGE = -1;
-
     private final Frontend frontend;
-    private final ArrayDeque<PendingResponse> pendingResponses = new ArrayDeque<>();
-    private boolean draining; // decodes no further request; closes once all responses are written
-    private boolean outputShutDown;
-    private boolean inputMalformed;
-    private int pendingWrites; // that the socket has not completed
+    private final ResponseWriter responses = new ResponseWriter(this);
+    private final InputTracker inputTracker;
+    private final InputScheduler inputScheduler;
+    private ConnectionState state = ConnectionState.OPEN;
+
+    /** Whether what is read is thrown away: nothing that follows malformed input, or the last request, is a request. */
+    private boolean discardsInput;
+
     private double idleSince; // when it was opened or its last response was ready
-    private double partialMessageSince = NO_PARTIAL_MESSAGE; // when the message that is incomplete began
     private int reportedBytes; // that the frontend accounts for as buffered here
-    private boolean resumeScheduled;
 
     protected ClientConnection(Frontend frontend, RateLimitedLog log) {
         super(MAX_INPUT_BYTES, log);
         this.frontend = frontend;
+        inputTracker = new InputTracker(frontend.inputClock());
+        inputScheduler = new InputScheduler(frontend, inputTracker, this::resume);
     }
 
     final Frontend frontend() {
@@ -69,31 +62,36 @@
     @Override
     protected final void onOpened() {
         idleSince = frontend.now();
+        inputScheduler.opened(channel());
         frontend.connections().add(this, frontend.now());
     }
 
+    // Input.
+
     @Override
     protected final void onReceived() throws MalformedInputException {
-        if (draining) {
+        if (state == ConnectionState.QUIESCING) {
+            state = ConnectionState.OPEN;
+        }
+        if (state == ConnectionState.OPEN) {
+            inputTracker.received();
+        } else {
             in.skip(in.size());
         }
         reportBufferedBytes();
-        updateAutoRead();
-        scheduleResume();
+        updateReading();
     }
 
-    private void scheduleResume() {
-        if (!resumeScheduled) {
-            resumeScheduled = true;
-            channel().eventLoop().execute(this::resume);
-        }
+    @Override
+    protected final void onReadComplete(boolean drained) {
+        inputScheduler.readComplete(drained);
     }
 
-    /** Decodes buffered input. */
-    final void resume() {
-        resumeScheduled = false;
+    /** Writes responses that waited for the socket, and decodes buffered input. */
+    private void resume() {
+        responses.writeReady();
         try {
-            if (isOpen() && !outputShutDown) {
+            if (isOpen() && state == ConnectionState.OPEN) {
                 readMessages();
             }
         } catch (MalformedInputException e) {
@@ -103,62 +101,69 @@
 
     private void readMessages() throws MalformedInputException {
         double sliceEnd = frontend.now() + DECODE_TIME_SLICE_MS;
-        while (!draining && canReadMessage() && readMessage()) {
-            partialMessageSince = NO_PARTIAL_MESSAGE;
+        boolean incomplete = false;
+        while (state == ConnectionState.OPEN && canReadMessage() && !incomplete) {
+            incomplete = !readMessage();
             if (frontend.now() > sliceEnd) { // another client's disconnect may be waiting to be read
-                resumeScheduled = true;
-                frontend.resumeLater(this);
+                inputScheduler.scheduleAfterNextRead();
                 break;
             }
         }
-        trackPartialMessage();
-        if (draining) {
+        if (incomplete) {
+            inputTracker.decoded(isMidMessage());
+        }
+        if (state != ConnectionState.OPEN) {
             in.skip(in.size());
         }
-        reportBufferedBytes();
-        updateAutoRead();
+        boolean withinLimit = reportBufferedBytes();
+        if (incomplete && !withinLimit && isMidMessage()) {
+            endWithError("too many bytes of messages wait on all links");
+        }
+        updateReading();
     }
 
     private boolean canReadMessage() {
-        return pendingResponses.size() < MAX_PENDING_RESPONSES && channel().isWritable();
+        return responses.size() < MAX_PENDING_RESPONSES && channel().isWritable();
     }
 
-    private void trackPartialMessage() {
-        if (!isMidMessage()) {
-            partialMessageSince = NO_PARTIAL_MESSAGE;
-        } else if (!hasPartialMessage()) {
-            partialMessageSince = frontend.now();
-        }
-    }
-
-    private boolean hasPartialMessage() {
-        return partialMessageSince >= 0;
+    /** Returns whether all connections together are within their limit. */
+    private boolean reportBufferedBytes() {
+        int previous = reportedBytes;
+        reportedBytes = state == ConnectionState.OPEN ? in.capacity() + parserBytes() : 0;
+        return frontend.addBufferedBytes(reportedBytes - previous);
     }
 
-    private void reportBufferedBytes() throws MalformedInputException {
-        int previous = reportedBytes;
-        reportedBytes = draining ? 0 : in.capacity() + parserBytes();
-        if (!frontend.addBufferedBytes(reportedBytes - previous) && hasPartialMessage()) {
-            throw new MalformedInputException("too many bytes of messages wait on all links");
+    /** Starts or stops reading, as the state and the limits on what is buffered have it. */
+    final void updateReading() {
+        if (isOpen()) {
+            inputScheduler.setReading(mayRead());
         }
     }
 
     /**
-     * Input is read ahead of decoding up to a limit, since only reading shows that the client has disconnected: a client
-     * sends a request again if the connection closed before the request was read, and waits in vain if it closed after.
-     * While draining, reading goes on as long as it is needed to see the disconnect, or, behind malformed input, to keep
-     * the error response from being lost in a reset.
+     * Input is read ahead of decoding up to a limit, since only reading shows that the client has disconnected. Behind
+     * malformed input, reading also keeps the error response from being lost in a reset.
      */
-    private void updateAutoRead() {
-        if (isOpen()) {
-            channel().config().setAutoRead(draining ? inputMalformed || !pendingResponses.isEmpty() : canReadAhead());
-        }
+    private boolean mayRead() {
+        return switch (state) {
+            case OPEN -> frontend.isReading() && inputScheduler.mayReadAhead(in.size());
+            case DRAINING, LINGERING -> discardsInput;
+            case QUIESCING -> false;
+        };
     }
 
-    private boolean canReadAhead() {
-        return in.size() < (frontend.isUnderMemoryPressure() ? READ_AHEAD_UNDER_PRESSURE_BYTES : READ_AHEAD_BYTES);
+    /** When the message that is being read arrived, at the latest, in milliseconds of the event loop's clock. */
+    protected final double arrivalTime() {
+        return inputTracker.arrivalTime();
     }
 
+    /** Whether a disconnect of the client would be noticed now. */
+    final boolean noticesDisconnect() {
+        return isOpen() && inputTracker.noticesDisconnect();
+    }
+
+    // Requests and responses.
+
     /** Submits a request, or rejects it if the frontend is at one of its limits. */
     protected final void submit(FrontendRequest request) {
         enqueue(request);
@@ -179,65 +184,90 @@
     }
 
     private void enqueue(PendingResponse response) {
-        if (pendingResponses.isEmpty()) {
+        if (responses.isEmpty()) {
             frontend.connections().markBusy(this);
         }
-        pendingResponses.add(response);
+        responses.add(response);
     }
 
-    /** Writes the responses at the head of the queue that are ready. */
+    /** Writes the responses that are next in order and ready. */
     final void writeReadyResponses() {
-        if (!isOpen() || !isNextResponseReady()) {
-            return;
+        if (isOpen()) {
+            responses.writeReady();
         }
-        boolean wasFull = pendingResponses.size() >= MAX_PENDING_RESPONSES;
-        ByteBuf out = buffer(INITIAL_RESPONSE_BUFFER_BYTES);
-        while (isNextResponseReady()) {
-            PendingResponse response = pendingResponses.poll();
-            // Closed with a response, since a request of an idle client is more likely to cross the close.
-            draining |= frontend.isDraining() && pendingResponses.isEmpty() && !hasBufferedInput();
-            response.writeResponse(out);
+    }
+
+    @Override
+    public final double now() {
+        return frontend.now();
+    }
+
+    @Override
+    public final boolean isWritable() {
+        return isOpen() && channel().isWritable();
+    }
+
+    @Override
+    public final ByteBuf newBuffer(int bytes) {
+        return buffer(bytes);
+    }
+
+    /** Closes with the response, since a request of an idle client is more likely to cross the close. */
+    @Override
+    public final void beforeLastResponse() {
+        if (state == ConnectionState.OPEN && mayQuiesce()) {
+            state = ConnectionState.QUIESCING;
         }
-        if (wasFull && !draining) {
-            scheduleResume();
+    }
+
+    @Override
+    public final void afterResponsesTaken() {
+        if (state == ConnectionState.OPEN && in.size() > 0) {
+            inputScheduler.schedule(); // the input may have waited for room in the queue
         }
-        if (pendingResponses.isEmpty()) {
+        if (responses.isEmpty()) {
             idleSince = frontend.now();
         }
-        pendingWrites++;
-        updateAutoRead();
-        send(out).addListener(this);
+        updateReading();
     }
 
-    private boolean isNextResponseReady() {
-        return !pendingResponses.isEmpty() && pendingResponses.peek().isReady();
+    @Override
+    public final ChannelFuture write(ByteBuf out) {
+        return send(out);
     }
 
-    /** Called when the socket has completed a write, or the write has failed. */
     @Override
-    public final void operationComplete(ChannelFuture write) {
-        pendingWrites--;
-        if (write.isSuccess()) {
-            if (isIdle()) {
-                draining = frontend.isDraining() && !hasBufferedInput();
-                frontend.connections().markIdle(this); // not before, or an eviction could cut the response off
-            }
-            shutDownIfDrained();
-        } else {
+    public final void onWriteCompleted(boolean success) {
+        if (!success) {
             close();
+            return;
         }
+        if (isIdle()) {
+            frontend.connections().markIdle(this); // not before, or an eviction could cut the response off
+            if (mayQuiesce()) {
+                quiesce();
+            }
+        }
+        shutDownIfFlushed();
     }
 
     @Override
     public final void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (isOpen() && channel().isWritable()) {
-            scheduleResume();
+        if (isWritable()) {
+            inputScheduler.schedule();
         }
     }
 
+    // The end.
+
     /** Whether nothing is lost if it is closed: no request, unwritten response or undecoded message. */
     final boolean isIdle() {
-        return !resumeScheduled && pendingResponses.isEmpty() && pendingWrites == 0 && !draining;
+        return state == ConnectionState.OPEN && !owesResponse();
+    }
+
+    /** Whether a response is owed or on its way to the socket, or what was read may hold a request. */
+    final boolean owesResponse() {
+        return inputScheduler.isScheduled() || !responses.isFlushed();
     }
 
     /** When it was opened, or the last response was ready. */
@@ -252,7 +282,7 @@
 
     /** Closes it unless a message has just begun. */
     final void closeIfUnused() {
-        if (resumeScheduled || hasBufferedInput()) {
+        if (inputScheduler.isScheduled() || hasBufferedInput()) {
             idleSince = frontend.now();
             frontend.connections().markIdle(this); // a message that stays incomplete is left to checkReadTimeout
         } else {
@@ -260,16 +290,16 @@
         }
     }
 
-    /** Responds with an error if a message has been incomplete since before the given time. */
-    final void checkReadTimeout(double startedBefore) {
-        if (hasPartialMessage() && partialMessageSince < startedBefore && !draining && !resumeScheduled) {
-            onMalformed("a message stays half sent");
+    /** Responds with an error if the rest of a message is overdue. */
+    final void checkReadTimeout() {
+        if (isIdle() && inputTracker.isMessageOverdue()) {
+            endWithError("a message stays half sent");
         }
     }
 
-    /** Closes it if the client has not taken its last responses, ready since before the given time. */
-    final void checkWriteTimeout(double readyBefore) {
-        if (pendingWrites > 0 && pendingResponses.isEmpty() && idleSince < readyBefore) {
+    /** Closes it if the client has taken no response since before the given time, though some wait for it. */
+    final void checkWriteTimeout(double timeMs) {
+        if (responses.isStalledSince(timeMs)) {
             close();
         }
     }
@@ -277,42 +307,85 @@
     /** Requests that came before are still answered; then the connection is closed. */
     @Override
     protected final void onMalformed(String reason) {
-        log.warn("malformed request from client", reason);
-        if (!draining) {
-            draining = true;
-            inputMalformed = true;
-            in.skip(in.size());
-            respond(errorResponse(reason));
+        if (state == ConnectionState.OPEN) {
+            discardsInput = true;
+            endWithError(reason);
         }
     }
 
-    /** Decodes no further request; the connection closes after its pending responses. */
+    /**
+     * Responds with an error to a message that has begun, and closes the connection. Unless input is discarded, what
+     * follows is not read: it may hold whole requests, which the client sends again when the close resets the connection.
+     */
+    private void endWithError(String reason) {
+        log.warn("malformed request from client", reason);
+        state = ConnectionState.DRAINING;
+        in.skip(in.size());
+        respond(errorResponse(reason));
+        updateReading();
+    }
+
+    /** Decodes no further request, as the client asked; the connection closes after its pending responses. */
     protected final void stopReading() {
-        draining = true;
+        state = ConnectionState.DRAINING;
+        discardsInput = true;
     }
 
-    /** Whether no further request is decoded, so that the last pending response is the last on this connection. */
-    public final boolean isDraining() {
-        return draining;
+    /** Whether this is the last response, which is then told to the client, so that no further request is answered. */
+    public final boolean announceClose() {
+        if (state == ConnectionState.QUIESCING) {
+            state = ConnectionState.DRAINING;
+        }
+        return state != ConnectionState.OPEN;
     }
 
-    /** Closes the connection after its pending responses. */
+    /** Closes an idle connection gracefully; a message that is incomplete is answered with an error. */
     final void drain() {
-        draining = true;
-        shutDownIfDrained();
+        if (hasBufferedInput()) {
+            endWithError("the gateway shuts down");
+        } else {
+            quiesce();
+            shutDownIfFlushed();
+        }
+    }
+
+    /** Whether the connection is to be closed, and nothing that was read is still to be answered. */
+    private boolean mayQuiesce() {
+        return frontend.isDraining() && !hasBufferedInput();
+    }
+
+    private void quiesce() {
+        state = ConnectionState.QUIESCING;
+        updateReading();
     }
 
     /** Waits for the pending writes, since a shutdown of the output drops what a slow client has not received. */
+    private void shutDownIfFlushed() {
+        if (!isOpen() || !responses.isFlushed()) {
+            return;
+        }
+        if (state == ConnectionState.DRAINING) {
+            shutDownOutput();
+        } else if (state == ConnectionState.QUIESCING) {
+            // The selector may have found input already, which is then read in this turn although reading has stopped.
+            channel().eventLoop().execute(this::shutDownIfQuiet);
+        }
+    }
+
+    private void shutDownIfQuiet() {
+        if (isOpen() && state == ConnectionState.QUIESCING && responses.isFlushed()) {
+            shutDownOutput();
+        }
+    }
+
     @SuppressWarnings(
             "FutureReturnValueIgnored") // whatever became of it, the connection is closed after the linger time
-    private void shutDownIfDrained() {
-        if (draining && !outputShutDown && pendingResponses.isEmpty() && pendingWrites == 0 && isOpen()) {
-            // The output first: to close with unread input would reset responses on their way.
-            ((DuplexChannel) channel()).shutdownOutput();
-            outputShutDown = true;
-            updateAutoRead();
-            frontend.closeAfterLinger(this);
-        }
+    private void shutDownOutput() {
+        // The output first: to close with unread input would reset responses on their way.
+        state = ConnectionState.LINGERING;
+        ((DuplexChannel) channel()).shutdownOutput();
+        updateReading();
+        frontend.closeAfterLinger(this);
     }
 
     @Override
@@ -320,11 +393,6 @@
         frontend.connections().remove(this);
         frontend.addBufferedBytes(-reportedBytes);
         reportedBytes = 0;
-        for (PendingResponse response : pendingResponses) {
-            if (response instanceof FrontendRequest request && !request.isDone()) {
-                frontend.withdraw(request);
-            }
-        }
-        pendingResponses.clear();
+        responses.removeAll().forEach(frontend::withdraw);
     }
 }
--- a/gateway/src/main/java/stonelb/gateway/frontend/ConnectionRegistry.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ConnectionRegistry.java
@@ -11,8 +11,8 @@
  * when there are too many.
  */
 final class ConnectionRegistry {
-    /** For the first complete request and for the rest of a partial message; clients expect a close within 3 s. */
-    private static final double READ_TIMEOUT_MS = 2000;
+    /** For the first complete request; clients expect a close within 3 s. */
+    private static final double FIRST_REQUEST_TIMEOUT_MS = 2000;
 
     /** For a client that does not take its responses. */
     private static final double WRITE_TIMEOUT_MS = 30_000;
@@ -106,10 +106,10 @@
 
     /** Closes connections that are unused, and those with a read or a write that takes too long. */
     void closeExpired(double now) {
-        closeIdle(withoutRequest, now - READ_TIMEOUT_MS);
+        closeIdle(withoutRequest, now - FIRST_REQUEST_TIMEOUT_MS);
         closeIdle(idle, now - idleTimeoutMs());
         for (ClientConnection connection : new ArrayList<>(connections)) {
-            connection.checkReadTimeout(now - READ_TIMEOUT_MS);
+            connection.checkReadTimeout();
             connection.checkWriteTimeout(now - WRITE_TIMEOUT_MS);
         }
     }
@@ -148,4 +148,14 @@
             }
         }
     }
+
+    /** Has all connections start or stop reading, as the frontend has it. */
+    void updateReading() {
+        new ArrayList<>(connections).forEach(ClientConnection::updateReading);
+    }
+
+    /** Whether a response is owed on any connection. */
+    boolean oweResponses() {
+        return connections.stream().anyMatch(ClientConnection::owesResponse);
+    }
 }
--- a/gateway/src/main/java/stonelb/gateway/frontend/Frontend.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/Frontend.java
@@ -5,6 +5,7 @@
 import stonelb.core.RequestTable;
 import stonelb.core.TimerCallback;
 import stonelb.io.EventLoop;
+import stonelb.io.InputClock;
 import stonelb.io.RateLimitedLog;
 
 /**
@@ -29,24 +30,34 @@
     private static final long MAX_BUFFERED_BYTES = 8L << 20;
 
     private final EventLoop loop;
+    private final InputClock inputClock;
     private final RateLimitedLog log;
     private final RequestTable requestTable;
     private final int maxOpenRequests;
     private final ConnectionRegistry connections;
+    private Channel listener;
     private boolean draining;
     private boolean rejecting;
+    private boolean reading = true;
     private long requestBytes;
     private long bufferedBytes;
 
     /**
      * Creates a frontend that does not listen yet.
      *
+     * @param inputClock tells when client connections were read: the event loop itself, but for synthetic input
      * @param maxOpenRequests limit on requests in flight, over all frontends of the request table
      * @param maxConnections limit on the client connections of this frontend
      */
     protected Frontend(
-            EventLoop loop, RateLimitedLog log, RequestTable requestTable, int maxOpenRequests, int maxConnections) {
+            EventLoop loop,
+            InputClock inputClock,
+            RateLimitedLog log,
+            RequestTable requestTable,
+            int maxOpenRequests,
+            int maxConnections) {
         this.loop = loop;
+        this.inputClock = inputClock;
         this.log = log;
         this.requestTable = requestTable;
         this.maxOpenRequests = maxOpenRequests;
@@ -62,9 +73,12 @@
      * @return the bound address, with the actual port where {@code address} has port 0
      */
     public final InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        Channel listener = loop.listen(address, () -> accept(log));
-        loop.execute(() -> loop.timers().scheduleAfter(SWEEP_INTERVAL_MS, this, 0));
-        return (InetSocketAddress) listener.localAddress();
+        Channel opened = loop.listen(address, () -> accept(log));
+        loop.execute(() -> {
+            listener = opened;
+            loop.timers().scheduleAfter(SWEEP_INTERVAL_MS, this, 0);
+        });
+        return (InetSocketAddress) opened.localAddress();
     }
 
     /** The event loop's clock, in milliseconds. */
@@ -72,6 +86,10 @@
         return loop.now();
     }
 
+    final InputClock inputClock() {
+        return inputClock;
+    }
+
     /** Closes unused connections and reschedules itself. */
     @Override
     public final void onTimer(double now, long token) {
@@ -128,9 +146,9 @@
         requestTable.withdraw(request);
     }
 
-    /** Resumes the connection after the event loop has read all connections. */
-    final void resumeLater(ClientConnection connection) {
-        loop.timers().scheduleAfter(0, (now, token) -> connection.resume(), 0);
+    /** Runs a task with the next timers; where a task calls this, the event loop reads all connections before. */
+    final void runSoon(Runnable task) {
+        loop.timers().scheduleAfter(0, (now, token) -> task.run(), 0);
     }
 
     /** Closes the connection after a moment in which the client can receive what was written. */
@@ -168,6 +186,27 @@
         connections.drainIdle(all);
     }
 
+    /**
+     * Reads and accepts nothing any more, as the last step before the program exits: what has been read is still answered,
+     * and what has not is left to the socket.
+     */
+    public final void stopReading() {
+        reading = false;
+        if (listener != null) {
+            listener.config().setAutoRead(false);
+        }
+        connections.updateReading();
+    }
+
+    final boolean isReading() {
+        return reading;
+    }
+
+    /** Whether a response is owed on any connection. */
+    public final boolean owesResponses() {
+        return connections.oweResponses();
+    }
+
     /** Whether no client connection is open. */
     public final boolean empty() {
         return connections.isEmpty();
--- a/gateway/src/main/java/stonelb/gateway/frontend/FrontendRequest.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/FrontendRequest.java
@@ -21,6 +21,11 @@
         return connection;
     }
 
+    @Override
+    protected final boolean isClientWatched() {
+        return connection.noticesDisconnect();
+    }
+
     /** Called by subclasses once the response can be written. */
     protected final void responseReady() {
         connection.frontend().requestEnded(this);
--- a/gateway/src/main/java/stonelb/gateway/openapi/OpenApiConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/openapi/OpenApiConnection.java
@@ -100,7 +100,7 @@
                 route.requestClass(),
                 headers.plan(),
                 headers.customer(),
-                frontend.now() + headers.timeoutMs(),
+                arrivalTime() + headers.timeoutMs(),
                 route.cost(),
                 headers.spread(),
                 headers.retry());
--- a/gateway/src/main/java/stonelb/gateway/openapi/OpenApiFrontend.java
+++ b/gateway/src/main/java/stonelb/gateway/openapi/OpenApiFrontend.java
@@ -32,7 +32,7 @@
             OpenApiSettings settings,
             int maxConnections)
             throws InvalidConfigurationException {
-        super(loop, log, requestTable, config.maxOpenRequests(), maxConnections);
+        super(loop, loop, log, requestTable, config.maxOpenRequests(), maxConnections);
         this.config = config;
         planIndexes = NameIndex.of(config.plans());
         DescriptionFile descriptionFile =
--- a/gateway/src/main/java/stonelb/gateway/openapi/OpenApiRequest.java
+++ b/gateway/src/main/java/stonelb/gateway/openapi/OpenApiRequest.java
@@ -59,7 +59,7 @@
 
     @Override
     public void writeResponse(ByteBuf out) {
-        boolean close = connection().isDraining();
+        boolean close = connection().announceClose();
         if (problem != null) {
             problem.writeResponse(out);
         } else if (head()) {
--- a/gateway/src/main/java/stonelb/gateway/openapi/ProblemResponse.java
+++ b/gateway/src/main/java/stonelb/gateway/openapi/ProblemResponse.java
@@ -30,9 +30,9 @@
         headers.put("Content-Type", "application/problem+json");
         if (headRequest) { // the client would take a body for its next response
             headers.put("Content-Length", Integer.toString(body.length));
-            HttpWriter.headResponse(out, status, headers, connection.isDraining());
+            HttpWriter.headResponse(out, status, headers, connection.announceClose());
         } else {
-            HttpWriter.response(out, status, headers, body, connection.isDraining());
+            HttpWriter.response(out, status, headers, body, connection.announceClose());
         }
     }
 }
--- a/gateway/src/main/java/stonelb/gateway/platform/PlatformFrontend.java
+++ b/gateway/src/main/java/stonelb/gateway/platform/PlatformFrontend.java
@@ -9,6 +9,7 @@
 import stonelb.gateway.frontend.Frontend;
 import stonelb.gateway.frontend.FrontendRequest;
 import stonelb.io.EventLoop;
+import stonelb.io.InputClock;
 import stonelb.io.MalformedInputException;
 import stonelb.io.RateLimitedLog;
 
@@ -30,7 +31,19 @@
             Configuration config,
             int maxConnections,
             BooleanSupplier isReady) {
-        super(loop, log, requestTable, config.maxOpenRequests(), maxConnections);
+        this(loop, loop, log, requestTable, config, maxConnections, isReady);
+    }
+
+    /** Creates a frontend for synthetic input, which {@code inputClock} dates. */
+    public PlatformFrontend(
+            EventLoop loop,
+            InputClock inputClock,
+            RateLimitedLog log,
+            RequestTable requestTable,
+            Configuration config,
+            int maxConnections,
+            BooleanSupplier isReady) {
+        super(loop, inputClock, log, requestTable, config.maxOpenRequests(), maxConnections);
         this.requestParser = new PlatformRequestParser(config);
         this.isReady = isReady;
     }
--- a/gateway/src/main/java/stonelb/gateway/platform/PlatformRequestParser.java
+++ b/gateway/src/main/java/stonelb/gateway/platform/PlatformRequestParser.java
@@ -40,11 +40,11 @@
     /**
      * Parses a command.
      *
-     * @param now the event loop's clock, from which the timeout counts
+     * @param arrivedAt when the command arrived, on the event loop's clock, from which the timeout counts
      * @param idempotent whether the command is the one of idempotent classes
      * @throws MalformedInputException if an argument is invalid; its message is sent to the client
      */
-    ParsedRequest parse(double now, boolean idempotent, List<byte[]> arguments) throws MalformedInputException {
+    ParsedRequest parse(double arrivedAt, boolean idempotent, List<byte[]> arguments) throws MalformedInputException {
         if (arguments.size() < CommandArguments.MIN_COUNT || arguments.size() > CommandArguments.MAX_COUNT) {
             throw new MalformedInputException("wrong number of arguments");
         }
@@ -56,7 +56,7 @@
                 fields.requestClass(),
                 fields.plan(),
                 customer,
-                now + fields.timeoutMs(),
+                arrivedAt + fields.timeoutMs(),
                 fields.units(),
                 (int) fields.spread(),
                 fields.isRetry());
--- a/gateway/src/test/java/stonelb/gateway/endpoint/EndpointConnectionsTest.java
+++ b/gateway/src/test/java/stonelb/gateway/endpoint/EndpointConnectionsTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,7 +40,9 @@
 import stonelb.gateway.testing.EventLoopTasks;
 import stonelb.io.EventLoop;
 import stonelb.io.RateLimitedLog;
+import stonelb.standins.GatewayProcess;
 import stonelb.standins.StubServer;
+import stonelb.testing.FaultyChannels;
 
 /** Connections to endpoints, on a clock that the test moves, so that quiet periods end only when the test says. */
 class EndpointConnectionsTest {
@@ -46,9 +50,11 @@
     private final AtomicLong clock = new AtomicLong(1_000_000); // in milliseconds
     private volatile long runningSince; // 0: the clock is stopped
     private volatile Runnable onServed = () -> {};
+    private final FaultyChannels channels = new FaultyChannels();
     private final EventLoop loop = new EventLoop(
             new RateLimitedLog(),
-            () -> clock.get() + (runningSince == 0 ? 0 : (System.nanoTime() - runningSince) / 1e6));
+            () -> clock.get() + (runningSince == 0 ? 0 : (System.nanoTime() - runningSince) / 1e6),
+            channels);
     private RequestTable requests;
 
     @AfterEach
@@ -96,14 +102,20 @@
     /** A request that must not be executed twice. */
     private final class NonIdempotentRequest extends ClientRequest implements OutboundRequest {
         private final Protocol protocol;
+        private final String text;
 
         NonIdempotentRequest() {
             this(Protocol.RESP);
         }
 
         NonIdempotentRequest(Protocol protocol) {
+            this(protocol, "x");
+        }
+
+        NonIdempotentRequest(Protocol protocol, String text) {
             super(new RequestAttributes(0, 0, 5, 1_020_000, 1, 1, false));
             this.protocol = protocol;
+            this.text = text;
         }
 
         @Override
@@ -113,7 +125,7 @@
 
         @Override
         public void writeTo(ByteBuf out, long leftMs, String authority) {
-            out.writeByte('x');
+            out.writeCharSequence(text, StandardCharsets.US_ASCII);
         }
 
         @Override
@@ -259,4 +271,94 @@
                     maxOpen.get() + " connections at a time, limit " + maxConnections);
         }
     }
+
+    /** No socket, port or route can be had for a moment: a request must not use up all its attempts in that moment. */
+    @Test
+    void connectsThatFailHereAreRepeated() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout(20_000);
+            runningSince = System.nanoTime();
+            start(listener);
+            channels.failingSockets.set(2);
+            channels.failingConnects.set(6);
+            loop.execute(() -> requests.submit(new NonIdempotentRequest()));
+            Socket socket = listener.accept();
+            assertEquals('x', socket.getInputStream().read());
+            StubServer.write(socket.getOutputStream(), "*1\r\n$2\r\nok\r\n");
+            assertEquals("ok", results.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** A request is not rejected while all connections are in use: it waits for one that becomes idle. */
+    @Test
+    void attemptAtTheLimitWaitsForAConnection() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout(20_000);
+            runningSince = System.nanoTime();
+            start(listener, 2, 1);
+            loop.execute(() -> requests.submit(new NonIdempotentRequest()));
+            Socket first = listener.accept();
+            assertEquals('x', first.getInputStream().read());
+            loop.execute(() -> requests.submit(new NonIdempotentRequest()));
+            EventLoopTasks.awaitPass(loop);
+            StubServer.write(first.getOutputStream(), "*1\r\n$5\r\nfirst\r\n");
+            assertEquals("first", results.poll(20, TimeUnit.SECONDS));
+            Socket second = listener.accept();
+            assertEquals('x', second.getInputStream().read());
+            StubServer.write(second.getOutputStream(), "*1\r\n$6\r\nsecond\r\n");
+            assertEquals("second", results.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** The request's deadline has passed when its connection comes up. */
+    @Test
+    void attemptWhoseDeadlinePassedWhileConnectingIsNotWritten() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout(20_000);
+            start(listener);
+            loop.execute(() -> requests.submit(new NonIdempotentRequest()));
+            Socket socket = listener.accept();
+            clock.set(1_020_000);
+            loop.execute(() -> loop.wakeAt(loop.now()));
+            assertEquals("failed", results.poll(20, TimeUnit.SECONDS));
+            CompletableFuture<Integer> firstByte = CompletableFuture.supplyAsync(() -> read(socket));
+            GatewayProcess.until("the idle connection is closed", () -> {
+                clock.addAndGet(1000);
+                loop.execute(() -> loop.wakeAt(loop.now()));
+                return firstByte.isDone();
+            });
+            assertEquals(-1, firstByte.get(), "nothing was written");
+        }
+    }
+
+    private static int read(Socket socket) {
+        try {
+            return socket.getInputStream().read();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The endpoint answers before it has read all of a request; the rest must not precede the next request. */
+    @Test
+    void connectionWithAnUnfinishedRequestIsNotUsedAgain() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout(20_000);
+            runningSince = System.nanoTime();
+            start(listener);
+            channels.writeBudget.set(1);
+            loop.execute(() -> requests.submit(new NonIdempotentRequest(OutboundRequest.Protocol.RESP, "xyz")));
+            Socket first = listener.accept();
+            first.setSoTimeout(20_000);
+            assertEquals('x', first.getInputStream().read());
+            StubServer.write(first.getOutputStream(), "*1\r\n$5\r\nearly\r\n");
+            assertEquals("early", results.poll(20, TimeUnit.SECONDS));
+            channels.writeBudget.set(Long.MAX_VALUE);
+            loop.execute(() ->
+                    loop.timers().scheduleAfter(30, (now, token) -> requests.submit(new NonIdempotentRequest()), 0));
+            Socket second = listener.accept();
+            second.setSoTimeout(20_000);
+            assertEquals('x', second.getInputStream().read(), "the next request is sent on a new connection");
+        }
+    }
 }
