Convert the starts that discovery reports to the event loop's clock

Cause: discovery reports since_ms in Unix time, and EndpointList handed it to the decision engine, which compares it with the loop's clock. That clock is the wall time at the start of the program plus monotonic time, so after a step of the wall clock the two differ: a cold endpoint looked warm, one that had just started looked as if it would start in an hour, and a restart whose since_ms went back was missed.

Change: EndpointStartTimes converts a start once, when it is first listed: the age by the wall clock, taken off the loop's present time. It is kept while since_ms stays the same; a changed since_ms gives a later start than before. A start that is new under a list in use is no earlier than the previous response of the same discovery service; this does not hold for the cached list, the first response, and the first one of another service. A since_ms of 0, or none, stays long ago, and for an endpoint with a known start it tells nothing. Removed names are forgotten. EndpointList reads a list completely before it changes anything, so that a malformed one leaves neither numbers of names nor starts behind. The age of an endpoint is the only thing read off the wall clock; the watch's timeouts run on the loop's clock, as before.

Ruled out: an offset between the clocks kept per list, since it would move all starts at each step; a change of the decision engine, which keeps its rule that a restart has a later start.

Tests of the gateway that create an EndpointList pass it its clocks; what they check is unchanged.

--- a/control/src/main/java/stonelb/control/ControlPlane.java
+++ b/control/src/main/java/stonelb/control/ControlPlane.java
@@ -22,6 +22,7 @@
 import stonelb.description.Routes;
 import stonelb.discovery.DiscoveryClient;
 import stonelb.discovery.EndpointList;
+import stonelb.discovery.EndpointStartTimes;
 import stonelb.io.EventLoop;
 import stonelb.io.MalformedInputException;
 import stonelb.io.RateLimitedLog;
@@ -90,7 +91,8 @@
 
     /** The endpoint list, filled from the configuration where that holds a cached one. */
     private EndpointList endpointList() throws InvalidConfigurationException {
-        EndpointList endpoints = new EndpointList(configuration.zones(), registry, directory);
+        EndpointList endpoints = new EndpointList(
+                configuration.zones(), EndpointStartTimes.withSystemClock(loop::now), registry, directory);
         directory.setZoneNames(endpoints::zoneName);
         if (configuration.cachedEndpoints() != null) {
             try {
--- a/core/src/main/java/stonelb/discovery/AddressListener.java
+++ b/core/src/main/java/stonelb/discovery/AddressListener.java
@@ -11,7 +11,8 @@
      *
      * @param endpointId number of the endpoint
      * @param ready whether it takes new requests
-     * @param startedAtMs when it started, in Unix milliseconds; 0 for long ago
+     * @param startedAtMs when it started, on the event loop's clock; 0 for long ago. It changes with each restart that
+     *     discovery reports, and only then
      */
     void addressChanged(long endpointId, String name, InetSocketAddress address, boolean ready, double startedAtMs);
 
--- a/core/src/main/java/stonelb/discovery/DiscoveryWatch.java
+++ b/core/src/main/java/stonelb/discovery/DiscoveryWatch.java
@@ -117,7 +117,7 @@
     }
 
     private void applyList(HttpMessage response) throws MalformedInputException {
-        version = endpoints.apply(response.body());
+        version = endpoints.apply(response.body(), address);
         consecutiveFailures = 0;
         reconnecting = false;
         connection.answered = true;
--- a/core/src/main/java/stonelb/discovery/EndpointList.java
+++ b/core/src/main/java/stonelb/discovery/EndpointList.java
@@ -21,18 +21,35 @@
 import stonelb.io.MalformedInputException;
 
 /**
- * The endpoint list of the discovery service. It turns JSON entries into {@link Endpoint}s and names into numbers, and
- * tells its listeners of each update. A list that is malformed in part is not applied.
+ * The endpoint list of the discovery service. It turns JSON entries into {@link Endpoint}s, names into numbers and starts in
+ * Unix time into the event loop's, and tells its listeners of each update. A list that is malformed in part is not applied.
  */
 public final class EndpointList {
     private static final long NO_VERSION = -1;
 
-    /** Where an endpoint listens, for the {@link AddressListener}. */
-    private record AddressChange(long id, String name, InetSocketAddress address, boolean ready, double startedAtMs) {}
+    /**
+     * An entry of a list as it was sent.
+     *
+     * @param address null where an endpoint is removed and its address left out
+     * @param sinceMs when the endpoint started, in Unix milliseconds; 0 for long ago
+     * @param zone null for none
+     */
+    private record ListEntry(
+            String name,
+            EndpointState state,
+            InetSocketAddress address,
+            double sinceMs,
+            double weight,
+            int group,
+            String zone) {}
+
+    /** A list as it was sent. */
+    private record ParsedList(long version, List<ListEntry> entries) {}
 
     /** Zone names by index: those of the settings first, then others in the order in which lists name them. */
     private final List<String> zones;
 
+    private final EndpointStartTimes startTimes;
     private final EndpointListener endpointListener;
     private final AddressListener addressListener;
 
@@ -42,9 +59,19 @@
     private long lastId;
     private long version = NO_VERSION;
 
-    /** Creates an empty list; {@code zones} are the zones of the settings, the gateway's own first. */
-    public EndpointList(List<String> zones, EndpointListener endpointListener, AddressListener addressListener) {
+    /**
+     * Creates an empty list.
+     *
+     * @param zones the zones of the settings, the gateway's own first
+     * @param startTimes converts the starts of endpoints; no other list uses it
+     */
+    public EndpointList(
+            List<String> zones,
+            EndpointStartTimes startTimes,
+            EndpointListener endpointListener,
+            AddressListener addressListener) {
         this.zones = new ArrayList<>(zones);
+        this.startTimes = startTimes;
         this.endpointListener = endpointListener;
         this.addressListener = addressListener;
     }
@@ -55,7 +82,9 @@
      * @throws MalformedInputException if it is not such a list
      */
     public void loadCached(JsonObject list) throws MalformedInputException {
-        apply(list, EndpointListType.CACHED);
+        ParsedList parsed = parse(list);
+        startTimes.beginCachedList();
+        apply(parsed, EndpointListType.CACHED);
     }
 
     /** Whether no endpoint is listed. */
@@ -68,15 +97,27 @@
         return version;
     }
 
-    /** Applies a response of the discovery service and returns its version. */
-    long apply(byte[] body) throws MalformedInputException {
-        JsonObject list = parse(body);
+    /**
+     * Applies a response of the discovery service.
+     *
+     * @param source address of the service
+     * @return the version of the list
+     * @throws MalformedInputException if it is not such a list; nothing is changed then
+     */
+    long apply(byte[] body, InetSocketAddress source) throws MalformedInputException {
+        JsonObject list = parseJson(body);
+        ParsedList parsed = parse(list);
+        startTimes.beginResponse(source);
+        apply(parsed, isSnapshot(list) ? EndpointListType.SNAPSHOT : EndpointListType.DELTA);
+        return version;
+    }
+
+    private static boolean isSnapshot(JsonObject list) {
         JsonElement snapshot = list.get("snapshot");
-        boolean isSnapshot = snapshot != null && snapshot.isJsonPrimitive() && snapshot.getAsBoolean();
-        return apply(list, isSnapshot ? EndpointListType.SNAPSHOT : EndpointListType.DELTA);
+        return snapshot != null && snapshot.isJsonPrimitive() && snapshot.getAsBoolean();
     }
 
-    private static JsonObject parse(byte[] body) throws MalformedInputException {
+    private static JsonObject parseJson(byte[] body) throws MalformedInputException {
         try {
             JsonObject list = new Gson().fromJson(new String(body, StandardCharsets.UTF_8), JsonObject.class);
             if (list == null) {
@@ -88,34 +129,29 @@
         }
     }
 
-    private long apply(JsonObject list, EndpointListType type) throws MalformedInputException {
+    private static ParsedList parse(JsonObject list) throws MalformedInputException {
         try {
-            List<Endpoint> endpoints = new ArrayList<>();
-            List<AddressChange> addressChanges = new ArrayList<>();
+            List<ListEntry> entries = new ArrayList<>();
             for (JsonElement entry : JsonValues.array(list, "endpoints")) {
-                readEntry(entry.getAsJsonObject(), endpoints, addressChanges);
+                entries.add(parseEntry(entry.getAsJsonObject()));
             }
-            version = (long) JsonValues.number(list, "index", NO_VERSION);
-            publish(type, endpoints, addressChanges);
-            return version;
+            return new ParsedList((long) JsonValues.number(list, "index", NO_VERSION), entries);
         } catch (IllegalStateException | UnsupportedOperationException | ClassCastException | NumberFormatException e) {
             throw new MalformedInputException("the list is not the JSON expected");
         }
     }
 
-    private void readEntry(JsonObject entry, List<Endpoint> endpoints, List<AddressChange> addressChanges)
-            throws MalformedInputException {
+    private static ListEntry parseEntry(JsonObject entry) throws MalformedInputException {
         EndpointState state = state(requiredText(entry, "status"));
-        String name = requiredText(entry, "name");
-        double startedAtMs = JsonValues.number(entry, "since_ms", 0);
-        long id = idsByName.computeIfAbsent(name, unused -> ++lastId);
-        if (state != EndpointState.REMOVED || entry.has("address")) {
-            InetSocketAddress address = address(entry);
-            addressChanges.add(new AddressChange(id, name, address, state == EndpointState.READY, startedAtMs));
-        }
-        double weight = JsonValues.number(entry, "weight", 1);
-        int group = (int) JsonValues.number(entry, "group", 0);
-        endpoints.add(new Endpoint(id, state, startedAtMs, weight, group, zoneIndex(JsonValues.text(entry, "zone"))));
+        boolean hasAddress = state != EndpointState.REMOVED || entry.has("address");
+        return new ListEntry(
+                requiredText(entry, "name"),
+                state,
+                hasAddress ? address(entry) : null,
+                JsonValues.number(entry, "since_ms", 0),
+                JsonValues.number(entry, "weight", 1),
+                (int) JsonValues.number(entry, "group", 0),
+                JsonValues.text(entry, "zone"));
     }
 
     private static EndpointState state(String status) {
@@ -126,11 +162,12 @@
         };
     }
 
-    /** Tells the listeners of a list that has been read completely: addresses first. */
-    private void publish(EndpointListType type, List<Endpoint> endpoints, List<AddressChange> addressChanges) {
-        for (AddressChange change : addressChanges) {
-            addressListener.addressChanged(
-                    change.id(), change.name(), change.address(), change.ready(), change.startedAtMs());
+    /** Tells the listeners of a list: of each address before the endpoints. */
+    private void apply(ParsedList list, EndpointListType type) {
+        version = list.version();
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (ListEntry entry : list.entries()) {
+            endpoints.add(applyEntry(entry));
         }
         forgetRemoved(endpoints);
         if (type != EndpointListType.DELTA) {
@@ -138,11 +175,22 @@
             idsByName.values().retainAll(listedIds);
             addressListener.retainOnly(listedIds);
         }
+        startTimes.retainOnly(idsByName.keySet());
         if (!endpoints.isEmpty() || type != EndpointListType.DELTA) {
             endpointListener.endpointsChanged(type, endpoints);
         }
     }
 
+    private Endpoint applyEntry(ListEntry entry) {
+        long id = idsByName.computeIfAbsent(entry.name(), unused -> ++lastId);
+        double startedAtMs = startTimes.startReported(entry.name(), entry.sinceMs());
+        if (entry.address() != null) {
+            boolean ready = entry.state() == EndpointState.READY;
+            addressListener.addressChanged(id, entry.name(), entry.address(), ready, startedAtMs);
+        }
+        return new Endpoint(id, entry.state(), startedAtMs, entry.weight(), entry.group(), zoneIndex(entry.zone()));
+    }
+
     /** Forgets names, which would pile up; one that comes back is a new process and gets a new number. */
     private void forgetRemoved(List<Endpoint> endpoints) {
         idsByName
--- a/gateway/src/main/java/stonelb/gateway/GatewayServer.java
+++ b/gateway/src/main/java/stonelb/gateway/GatewayServer.java
@@ -13,6 +13,7 @@
 import stonelb.counter.CounterClient;
 import stonelb.discovery.DiscoveryClient;
 import stonelb.discovery.EndpointList;
+import stonelb.discovery.EndpointStartTimes;
 import stonelb.gateway.endpoint.EndpointConnections;
 import stonelb.gateway.frontend.Frontend;
 import stonelb.gateway.openapi.OpenApiFrontend;
@@ -140,7 +141,8 @@
                 config.settings(), config.seed(), loop.timers(), connections, counter, log::internalError);
         connections.begin(requests);
         counter.start(requests::counterAnswered);
-        endpointList = new EndpointList(config.zones(), requests::endpointsChanged, connections);
+        endpointList = new EndpointList(
+                config.zones(), EndpointStartTimes.withSystemClock(loop::now), requests::endpointsChanged, connections);
         loadCachedEndpoints();
         frontends.add(
                 new PlatformFrontend(loop, log, requests, config, clientConnections, () -> !endpointList.isEmpty()));
--- a/gateway/src/test/java/stonelb/discovery/LongDayTest.java
+++ b/gateway/src/test/java/stonelb/discovery/LongDayTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,6 +37,7 @@
 class LongDayTest {
     private static final int ROUNDS = 400;
     private static final int ROUND_MS = 1000;
+    private static final InetSocketAddress DISCOVERY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
     private double clock = 1_000_000;
     private final List<Attempt> attempts = new ArrayList<>();
@@ -106,13 +109,18 @@
 
     private int[] runDay(EventLoop loop) throws MalformedInputException, IllegalAccessException {
         EndpointConnections connections = new EndpointConnections(loop, new RateLimitedLog(), 250, 30_000, 64, 0);
-        EndpointList endpointList = new EndpointList(List.of("a"), requests::endpointsChanged, connections);
+        EndpointList endpointList = new EndpointList(
+                List.of("a"),
+                new EndpointStartTimes(() -> clock, () -> clock),
+                requests::endpointsChanged,
+                connections);
         connections.begin(requests);
-        endpointList.apply(endpointListJson(0, endpointEntry(0, "in_service")));
+        endpointList.apply(endpointListJson(0, endpointEntry(0, "in_service")), DISCOVERY);
         int[] objectCounts = new int[2];
         for (int round = 1; round <= ROUNDS; round++) {
-            endpointList.apply(endpointListJson(
-                    round, endpointEntry(round, "in_service"), endpointEntry(round - 1, "terminated")));
+            endpointList.apply(
+                    endpointListJson(round, endpointEntry(round, "in_service"), endpointEntry(round - 1, "terminated")),
+                    DISCOVERY);
             for (int i = 0; i < 5; i++) {
                 requests.submit(
                         new OneTimeRequest(new RequestAttributes(0, 0, 1000L * round + i, clock + 900, 1, 2, false)));
--- a/gateway/src/test/java/stonelb/gateway/EndpointListPropagationTest.java
+++ b/gateway/src/test/java/stonelb/gateway/EndpointListPropagationTest.java
@@ -24,6 +24,7 @@
 import stonelb.discovery.AddressListener;
 import stonelb.discovery.DiscoveryClient;
 import stonelb.discovery.EndpointList;
+import stonelb.discovery.EndpointStartTimes;
 import stonelb.gateway.testing.EventLoopTasks;
 import stonelb.io.EventLoop;
 import stonelb.io.RateLimitedLog;
@@ -31,11 +32,13 @@
 
 /**
  * A change in discovery must reach the gateway within 6 s, whichever way single calls fail. Runs on a clock that the test
- * moves in small steps, so that all timeouts and backoffs of the watch pass in a moment.
+ * moves in small steps, so that all timeouts and backoffs of the watch pass in a moment. The wall clock steps by two hours
+ * at each reading, which no timeout may notice.
  */
 class EndpointListPropagationTest {
     private static final double PROPAGATION_LIMIT_MS = 6000;
     private static final double STEP_MS = 25;
+    private static final double HOUR_MS = 3_600_000;
     private static final int GATEWAYS = 200;
 
     /** How a call to discovery fails. */
@@ -56,6 +59,7 @@
     private final Queue<Integer> remainingFaults = new ConcurrentLinkedQueue<>(); // how many calls are left to fail
     private final Queue<EndpointState> reportedStates = new ConcurrentLinkedQueue<>();
     private final Semaphore events = new Semaphore(0);
+    private boolean wallClockAhead;
     private EventLoop loop;
 
     @AfterEach
@@ -63,6 +67,12 @@
         loop.shutdown();
     }
 
+    /** An hour ahead of the loop's clock or behind it, in turn. */
+    private double steppingWallClock() {
+        wallClockAhead = !wallClockAhead;
+        return clock + (wallClockAhead ? HOUR_MS : -HOUR_MS);
+    }
+
     private String endpointListJson() {
         return "{\"index\":" + (draining ? 2 : 1) + ",\"snapshot\":true,\"endpoints\":[{\"name\":\"s\",\"address\":"
                 + "\"127.0.0.1:1\",\"status\":\"" + (draining ? "terminating" : "in_service") + "\"}]}";
@@ -144,6 +154,7 @@
         try (StubServer discovery = new StubServer(this::session)) {
             EndpointList endpointList = new EndpointList(
                     List.of(),
+                    new EndpointStartTimes(() -> clock, this::steppingWallClock),
                     (mode, list) -> {
                         list.forEach(s -> reportedStates.add(s.state()));
                         events.release();
--- a/gateway/src/test/java/stonelb/gateway/ReplayTest.java
+++ b/gateway/src/test/java/stonelb/gateway/ReplayTest.java
@@ -24,6 +24,7 @@
 import stonelb.core.TimerQueue;
 import stonelb.decision.Outcome;
 import stonelb.discovery.EndpointList;
+import stonelb.discovery.EndpointStartTimes;
 import stonelb.gateway.endpoint.EndpointConnections;
 import stonelb.gateway.frontend.Frontend;
 import stonelb.gateway.openapi.OpenApiFrontend;
@@ -122,7 +123,11 @@
                             counter,
                             e -> created.completeExceptionally(e));
                     connections.begin(requests[0]);
-                    new EndpointList(config.zones(), requests[0]::endpointsChanged, connections)
+                    new EndpointList(
+                                    config.zones(),
+                                    new EndpointStartTimes(stoppedTimers::now, stoppedTimers::now),
+                                    requests[0]::endpointsChanged,
+                                    connections)
                             .loadCached(new Gson().fromJson(platform.list(), JsonObject.class));
                     frontend[0] = openApi
                             ? new OpenApiFrontend(loop, log, requests[0], config, openApiSettings, 100)
--- a/gateway/src/test/java/stonelb/gateway/ZonesTest.java
+++ b/gateway/src/test/java/stonelb/gateway/ZonesTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import stonelb.config.Configuration;
 import stonelb.discovery.EndpointList;
+import stonelb.discovery.EndpointStartTimes;
 import stonelb.gateway.endpoint.EndpointConnections;
 import stonelb.standins.GatewayProcess;
 import stonelb.standins.StubPlatform;
@@ -46,6 +47,7 @@
         zoneNumbers.clear();
         endpointList = new EndpointList(
                 config.zones(),
+                new EndpointStartTimes(() -> 0, () -> 0),
                 (mode, servers) -> servers.forEach(s -> zoneNumbers.add(s.zone())),
                 new EndpointConnections(null, null, 0, 0, 0, 0));
         endpointList.loadCached(new Gson().fromJson("{\"index\":1,\"endpoints\":[" + list + "]}", JsonObject.class));
