Detect the restart of an endpoint by a changed start, not a later one

Cause: EndpointConnections took an endpoint for restarted only where the reported start was greater than the one held. After its clock had been set back, discovery reports a restart with an earlier time, and requests were sent on connections to the earlier process.

Change: any change of the start counts.

Measured: the new test in EndpointConnectionsTest printed before 'the connection to the earlier process is closed ==> expected: <-1> but was: <120>': the request went out on the old connection. Connections are still reused where the start stays the same, which the test checks too.

--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
@@ -82,7 +82,7 @@
     public void addressChanged(
             long endpointId, String name, InetSocketAddress address, boolean ready, double startedAtMs) {
         KnownEndpoint endpoint = endpoints.computeIfAbsent(endpointId, id -> new KnownEndpoint());
-        boolean restarted = startedAtMs > endpoint.startedAtMs();
+        boolean restarted = startedAtMs != endpoint.startedAtMs();
         endpoint.update(name, address, !ready, startedAtMs);
         for (OutboundRequest.Protocol protocol : PROTOCOLS) {
             EndpointConnectionPool pool = endpoint.pool(protocol);
--- a/gateway/src/main/java/stonelb/gateway/endpoint/KnownEndpoint.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/KnownEndpoint.java
@@ -28,7 +28,7 @@
         return draining;
     }
 
-    /** When the endpoint's process started, in Unix milliseconds. */
+    /** When the endpoint's process started, on the event loop's clock; it changes with each restart and only then. */
     double startedAtMs() {
         return startedAtMs;
     }
--- a/gateway/src/test/java/stonelb/gateway/endpoint/EndpointConnectionsTest.java
+++ b/gateway/src/test/java/stonelb/gateway/endpoint/EndpointConnectionsTest.java
@@ -49,6 +49,7 @@
     private final EventLoop loop = new EventLoop(
             new RateLimitedLog(),
             () -> clock.get() + (runningSince == 0 ? 0 : (System.nanoTime() - runningSince) / 1e6));
+    private EndpointConnections connections;
     private RequestTable requests;
 
     @AfterEach
@@ -64,7 +65,7 @@
     /** Starts the connections with so many endpoints, all at the listener. */
     private void start(ServerSocket listener, int endpoints, int maxConnections) {
         loop.execute(() -> {
-            EndpointConnections connections = new EndpointConnections(
+            connections = new EndpointConnections(
                     loop, new RateLimitedLog(), 5000, 30_000, maxConnections, listener.getLocalPort());
             requests = new RequestTable(
                     new DecisionSettings(
@@ -211,6 +212,38 @@
         }
     }
 
+    /** Discovery may report a restart with an earlier time than the start before, where its clock was set back. */
+    @Test
+    void connectionToAnEarlierProcessIsNotReusedWhereTheStartWentBack() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout(20_000);
+            runningSince = System.nanoTime();
+            start(listener);
+            InetSocketAddress address = (InetSocketAddress) listener.getLocalSocketAddress();
+            loop.execute(() -> connections.addressChanged(1, "s1", address, true, 900_000));
+            loop.execute(() -> requests.submit(new NonIdempotentRequest()));
+            Socket earlier = listener.accept();
+            earlier.setSoTimeout(20_000);
+            assertEquals('x', earlier.getInputStream().read());
+            StubServer.write(earlier.getOutputStream(), "*1\r\n$5\r\nfirst\r\n");
+            assertEquals("first", results.poll(20, TimeUnit.SECONDS));
+            loop.execute(() -> connections.addressChanged(1, "s1", address, true, 900_000));
+            loop.execute(() ->
+                    loop.timers().scheduleAfter(20, (now, token) -> requests.submit(new NonIdempotentRequest()), 0));
+            assertEquals('x', earlier.getInputStream().read(), "the same process is used again");
+            StubServer.write(earlier.getOutputStream(), "*1\r\n$5\r\nagain\r\n");
+            assertEquals("again", results.poll(20, TimeUnit.SECONDS));
+            loop.execute(() -> connections.addressChanged(1, "s1", address, true, 800_000));
+            loop.execute(() ->
+                    loop.timers().scheduleAfter(20, (now, token) -> requests.submit(new NonIdempotentRequest()), 0));
+            assertEquals(-1, earlier.getInputStream().read(), "the connection to the earlier process is closed");
+            Socket later = listener.accept();
+            assertEquals('x', later.getInputStream().read());
+            StubServer.write(later.getOutputStream(), "*1\r\n$6\r\nsecond\r\n");
+            assertEquals("second", results.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
     /** Connections to many endpoints must leave file descriptors for discovery and the quota counter. */
     @Test
     void connectionsToManyEndpointsStayWithinTheLimit() throws Exception {
