HTTP parser: bound a chunked body whose chunk sizes overflow together

Cause: checkBodySize added the bytes read and the next chunk's size as ints.

Change: the size is compared with the bytes that are left.

--- a/core/src/main/java/stonelb/http/HttpParser.java
+++ b/core/src/main/java/stonelb/http/HttpParser.java
@@ -267,7 +267,8 @@
     }
 
     private void checkBodySize(int additionalBytes) throws MalformedInputException {
-        if (body.size() + additionalBytes > maxBodyBytes) {
+        // The sum could overflow: a chunk may state any size up to Integer.MAX_VALUE.
+        if (additionalBytes > maxBodyBytes - body.size()) {
             throw new MalformedInputException("a body is larger than " + maxBodyBytes + " bytes");
         }
     }
