Description: reject a reference with a broken escape instead of ending the reload

Cause: References.memberName decoded "%zz" by URLDecoder, whose IllegalArgumentException nobody caught: it ended the thread that reloads the description, and later files were not read.

Change: it decodes as paths do, by PathSegments, and a broken escape is an invalid description that names the reference.

Ruled out: plus signs, encoded percent signs, UTF-8 and the escapes of JSON pointers are decoded as before (a test).

--- a/core/src/main/java/stonelb/description/References.java
+++ b/core/src/main/java/stonelb/description/References.java
@@ -2,8 +2,6 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import java.net.URLDecoder;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
@@ -23,7 +21,8 @@
      * Follows the references of an object; an object without one is returned as it is. Members beside a reference
      * override those of its target.
      *
-     * @throws InvalidDescriptionException if a reference is not local, leads in a circle or has no target
+     * @throws InvalidDescriptionException if a reference is not local, has a broken escape, leads in a circle or has no
+     *     target
      */
     JsonObject resolve(JsonObject object) throws InvalidDescriptionException {
         JsonObject target = object;
@@ -61,6 +60,9 @@
         JsonElement target = root;
         for (String token : reference.substring(2).split("/", -1)) {
             String name = memberName(token);
+            if (name == null) {
+                throw new InvalidDescriptionException("the reference " + reference + " has a broken escape");
+            }
             target = target != null && target.isJsonObject()
                     ? target.getAsJsonObject().get(name)
                     : null;
@@ -71,9 +73,9 @@
         return target.getAsJsonObject();
     }
 
+    /** The member that a token of a JSON pointer names; null where a percent-escape is broken. */
     private static String memberName(String token) {
-        // URLDecoder would turn a plus sign into a space.
-        String decoded = URLDecoder.decode(token.replace("+", "%2B"), StandardCharsets.UTF_8);
-        return decoded.replace("~1", "/").replace("~0", "~");
+        String decoded = PathSegments.decode(token);
+        return decoded == null ? null : decoded.replace("~1", "/").replace("~0", "~");
     }
 }
--- a/core/src/test/java/stonelb/description/OpenApiDescriptionTest.java
+++ b/core/src/test/java/stonelb/description/OpenApiDescriptionTest.java
@@ -20,14 +20,13 @@
 
 /** Descriptions into routes: prefixes, references, templates, classes and costs. */
 class OpenApiDescriptionTest {
-    private static final RequestClass READ =
-            new RequestClass(1000, Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 5000, 3);
+    static final RequestClass READ = new RequestClass(1000, Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 5000, 3);
     private static final RequestClass LOG =
             new RequestClass(2000, Idempotency.AT_MOST_ONCE, DeduplicationScope.ALL, 5000, 2);
 
     private final List<String> reported = new ArrayList<>();
 
-    private static DecisionSettings settings(RequestClass... classes) {
+    static DecisionSettings settings(RequestClass... classes) {
         return new DecisionSettings(
                 1,
                 List.of(classes),
@@ -162,6 +161,29 @@
         assertTrue(rejected(head + "[]").contains("not the JSON or YAML"));
     }
 
+    @Test
+    void aReferenceWithABrokenEscapeIsRejected() {
+        String head = "openapi: 3.0.0\npaths:\n  ";
+        for (String broken : List.of("%zz", "a%", "%4", "%-1", "a/%g0")) {
+            String reason = rejected(head + "/a: {$ref: '#/" + broken + "'}");
+            assertTrue(reason.contains("the reference #/" + broken + " has a broken escape"), reason);
+        }
+    }
+
+    @Test
+    void escapesInAReferenceAreDecoded() throws Exception {
+        Routes routes = read(
+                """
+                openapi: 3.0.0
+                x-stonelb-default-class: read
+                paths:
+                  /a: {$ref: '#/x-items/a%20b+c%25~1%C3%A9~01'}
+                x-items:
+                  'a b+c%/é~1': {get: {}}
+                """);
+        assertEquals("GET /a", name(routes, "GET", "/a"));
+    }
+
     @Test
     void oneMethodUnderTwoServersAndNoMatchElsewhere() throws Exception {
         assertNull(read(YAML).match("/v3/logs"));
