Description: reject YAML numbers that JSON does not have

Cause: Gson throws IllegalArgumentException for .nan and .inf, of which the reader caught NumberFormatException alone. As with a broken reference, that ended the thread that reloads the description.

Change: the reader rejects the description for any IllegalArgumentException of the JSON tree.

Measured: before, aNumberThatJsonDoesNotHaveIsRejected printed "expected: InvalidDescriptionException but was: IllegalArgumentException ... NaN is not a valid double value as per JSON specification"; now it passes.

Ruled out: infinite numbers in JSON text, which the check of a cost rejects.

--- a/core/src/main/java/stonelb/description/OpenApiDescription.java
+++ b/core/src/main/java/stonelb/description/OpenApiDescription.java
@@ -53,7 +53,7 @@
                 | IllegalStateException
                 | ClassCastException
                 | UnsupportedOperationException
-                | NumberFormatException e) {
+                | IllegalArgumentException e) { // also of numbers: malformed, or such as JSON does not have
             String firstLine =
                     String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             throw new InvalidDescriptionException("it is not the JSON or YAML expected: " + firstLine);
--- a/core/src/test/java/stonelb/description/OpenApiDescriptionTest.java
+++ b/core/src/test/java/stonelb/description/OpenApiDescriptionTest.java
@@ -170,6 +170,14 @@
         }
     }
 
+    @Test
+    void aNumberThatJsonDoesNotHaveIsRejected() {
+        for (String number : List.of(".nan", ".inf", "-.inf")) {
+            String reason = rejected("openapi: 3.0.0\nx-number: " + number + "\npaths: {/a: {get: {}}}");
+            assertTrue(reason.contains("not the JSON or YAML expected"), reason);
+        }
+    }
+
     @Test
     void escapesInAReferenceAreDecoded() throws Exception {
         Routes routes = read(
