Decision engine: keep the counter name 0 of customer 0 in window 0

Cause: 0 stood for the name of an account without a window. Such an account removed name 0 as it closed or moved to its first window, and the engine dropped it at each split of the slots. Customer 0 has that name in window 0: answers to its calls found no customer, and requests held for them waited until their deadline.

Change: an account without a window has no name and is not in the map of names; the engine drops nothing.

Measured: before, LeaseTest.aCallUnderTheCounterName0IsAnsweredAfterTheSlotsAreSplit printed "expected: <2> but was: <1>", and CounterAccountTest "expected: <false> but was: <true>" and "expected: <0> but was: <null>".

--- a/decision/src/main/java/stonelb/decision/CounterAccount.java
+++ b/decision/src/main/java/stonelb/decision/CounterAccount.java
@@ -6,6 +6,8 @@
 
 /** One customer's calls to the shared counter under the name of the present window, and what they have shown. */
 final class CounterAccount {
+    private static final long NO_WINDOW = Long.MIN_VALUE;
+
     private enum CallType {
         QUERY,
         ADJUSTMENT
@@ -17,8 +19,11 @@
     private final CounterWindow window;
     private final double keepMs;
     private final Deque<CallType> unanswered = new ArrayDeque<>();
-    private long windowIndex = Long.MIN_VALUE;
+    private long windowIndex = NO_WINDOW;
+
+    /** The counter name of the present window; of no meaning where there is none. */
     private long name;
+
     private boolean querying;
     private double queriedAmount;
     private double lastTotal;
@@ -45,7 +50,7 @@
         if (index == windowIndex) {
             return false;
         }
-        customersByName.remove(name);
+        releaseName();
         windowIndex = index;
         name = window.counterName(index);
         customersByName.put(name, customer);
@@ -57,7 +62,7 @@
     }
 
     boolean isCurrent(long counterName) {
-        return counterName == name;
+        return hasWindow() && counterName == name;
     }
 
     /** Adds an amount, and waits for the total. */
@@ -131,6 +136,16 @@
 
     /** Takes no more answers. */
     void close() {
-        customersByName.remove(name);
+        releaseName();
+    }
+
+    private void releaseName() {
+        if (hasWindow()) {
+            customersByName.remove(name);
+        }
+    }
+
+    private boolean hasWindow() {
+        return windowIndex != NO_WINDOW;
     }
 }
--- a/decision/src/main/java/stonelb/decision/DefaultDecisionEngine.java
+++ b/decision/src/main/java/stonelb/decision/DefaultDecisionEngine.java
@@ -10,7 +10,6 @@
     private static final double TICK_MS = 50;
     private static final double SPLIT_PERIOD_MS = 2000; // of the slots
     private static final long TICK_TOKEN = 1;
-    private static final long NO_COUNTER_NAME = 0; // of an account without a window
     private static final int REQUEST_TOKEN_SHIFT = 3; // a request's timer token is its id, shifted
 
     private final DecisionSettings settings;
@@ -163,7 +162,6 @@
             nextSplitAtMs = now + SPLIT_PERIOD_MS;
             parts.slots().split(SPLIT_PERIOD_MS);
             customers.values().removeIf(customer -> customer.lease().closeIfIdle(now, customer.hasWaiting()));
-            parts.leases().customersByName().remove(NO_COUNTER_NAME);
         }
     }
 
--- a/decision/src/test/java/stonelb/decision/CounterAccountTest.java
+++ b/decision/src/test/java/stonelb/decision/CounterAccountTest.java
@@ -15,8 +15,11 @@
 
     private final EngineScript script = new EngineScript(EngineScript.SAFE, EngineScript.OPEN);
     private final Map<Long, Long> customers = new HashMap<>();
-    private final CounterAccount account =
-            new CounterAccount(new LeaseContext(null, null, null, null, script, customers), 7, 60_000);
+    private final CounterAccount account = account(7);
+
+    private CounterAccount account(long customer) {
+        return new CounterAccount(new LeaseContext(null, null, null, null, script, customers), customer, 60_000);
+    }
 
     @Test
     void windowsFollowOneAnother() {
@@ -42,6 +45,27 @@
         assertTrue(customers.isEmpty());
     }
 
+    @Test
+    void anAccountWithoutAWindowHasNoName() {
+        assertTrue(customers.isEmpty());
+        assertFalse(account.isCurrent(0));
+    }
+
+    /** Customer 0 has the counter name 0 in window 0. */
+    @Test
+    void theName0StaysWhileAccountsWithoutAWindowMoveOrClose() {
+        CounterAccount zero = account(0);
+        assertTrue(zero.moveToWindow(0, WINDOW_MS));
+        assertTrue(zero.isCurrent(0));
+        assertEquals(Map.of(0L, 0L), customers);
+        account(8).close();
+        assertEquals(0L, customers.get(0L));
+        account.moveToWindow(0, WINDOW_MS);
+        assertEquals(0L, customers.get(0L));
+        zero.close();
+        assertFalse(customers.containsKey(0L));
+    }
+
     @Test
     void answersComeInTheOrderOfTheCalls() {
         account.moveToWindow(5000, WINDOW_MS);
--- a/decision/src/test/java/stonelb/decision/LeaseTest.java
+++ b/decision/src/test/java/stonelb/decision/LeaseTest.java
@@ -73,6 +73,18 @@
         assertEquals(1, s.sent());
     }
 
+    /** Guards against answers that find no customer: name 0 is the one of customer 0 in its first window. */
+    @Test
+    void aCallUnderTheCounterName0IsAnsweredAfterTheSlotsAreSplit() {
+        EngineScript s = sparse();
+        long id = s.request(2, 0, 50);
+        s.counted(0).ended(id, 0, s.serverOf(id), Outcome.OK, 50);
+        assertEquals(1, s.sent());
+        s.pass(3000).request(2, 0, 50);
+        s.counted(0);
+        assertEquals(2, s.sent());
+    }
+
     /** Guards against units taken from the store for tries that the gateway then turns away. */
     @Test
     void aWideCustomersTryThatFindsNoSlotTakesNoUnit() {
