Ceiling budget: decide on a request within its tolerance instead of holding it

Cause: the ceiling allows a request if it leaves 0.001 unit more than needed, but the time until it does was computed without that tolerance. With up to 0.001 unit more, it was negative, which means to hold the request: no call was out, and it waited until its deadline.

Change: that time is never below 0, so such a request is admitted, as one whose units the ceiling leaves exactly was before.

Ruled out: leases, by the tolerances of QuotaLease: countFirst and admitByQuota hold only with a call out. A longer time that includes the tolerance would change other requests' Retry-After, and a full bucket of exactly a request's units would never admit it.

--- a/decision/src/main/java/stonelb/decision/CeilingBudget.java
+++ b/decision/src/main/java/stonelb/decision/CeilingBudget.java
@@ -7,9 +7,9 @@
         return terms.plan().ceilingRate() <= 0 || bucket.tokens() >= units + QuotaTerms.UNIT_TOLERANCE;
     }
 
-    /** The time until it allows so many units. */
+    /** The time until it holds so many units, 0 where it does. */
     double retryAfterMs(double units) {
-        double missing = units - bucket.tokens();
+        double missing = Math.max(0, units - bucket.tokens());
         return missing * terms.spread() / terms.plan().ceilingRate() * QuotaTerms.MS_PER_SECOND;
     }
 
--- a/decision/src/test/java/stonelb/decision/EngineScript.java
+++ b/decision/src/test/java/stonelb/decision/EngineScript.java
@@ -17,6 +17,7 @@
     private long nextId = 1;
     private long lastName;
     private double lastAmount;
+    private int unansweredCalls;
     private final Map<Long, Double> totals = new HashMap<>();
 
     EngineScript(RequestClass type, Plan plan) {
@@ -119,16 +120,23 @@
 
     /** Answers the last counter call as a counter would that only this gateway and {@code others} use. */
     EngineScript counted(double others) {
+        unansweredCalls--;
         double total = totals.merge(lastName, others + lastAmount, Double::sum);
         gateway.counterAnswered(now, lastName, Outcome.OK, 5, total);
         return this;
     }
 
     EngineScript counted(Outcome how) {
+        unansweredCalls--;
         gateway.counterAnswered(now, lastName, how, 50, 0);
         return this;
     }
 
+    /** Calls of the counter that were not answered by {@link #counted}. */
+    int unansweredCalls() {
+        return unansweredCalls;
+    }
+
     double lastAmount() {
         return lastAmount;
     }
@@ -184,6 +192,7 @@
     public void addToCounter(long name, double amount, double keepMs) {
         lastName = name;
         lastAmount = amount;
+        unansweredCalls++;
         actions.add("add " + amount);
     }
 
