--- a/core/src/main/java/stonelb/io/EventLoop.java
+++ b/core/src/main/java/stonelb/io/EventLoop.java
@@ -12,6 +12,7 @@
 import io.netty.channel.IoHandler;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.netty.util.concurrent.ThreadAwareExecutor;
@@ -28,6 +29,9 @@
     /** Reads of one connection before the others have their turn. */
     static final int MAX_READS_PER_TURN = 8;
 
+    /** Bytes in network buffers for one client, from and below which its connection does and does not take more. */
+    private static final WriteBufferWaterMark WRITE_BUFFER_LIMITS = new WriteBufferWaterMark(8 * 1024, 32 * 1024);
+
     private static final int LISTEN_BACKLOG = 512;
     private static final long SHUTDOWN_TIMEOUT_MS = 1000;
     private static final double NANOS_PER_MS = 1e6;
@@ -164,6 +168,7 @@
                 .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_LIMITS)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, readUntilDrained())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
--- a/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
@@ -28,11 +28,7 @@
     private final ResponseWriter responses = new ResponseWriter(this);
     private final InputTracker inputTracker;
     private final InputScheduler inputScheduler;
-    private ConnectionState state = ConnectionState.OPEN;
-
-    /** Whether what is read is thrown away: nothing that follows malformed input, or the last request, is a request. */
-    private boolean discardsInput;
-
+    private final ConnectionLifecycle lifecycle = new ConnectionLifecycle();
     private double idleSince; // when it was opened or its last response was ready
     private int reportedBytes; // that the frontend accounts for as buffered here
 
@@ -70,10 +66,7 @@
 
     @Override
     protected final void onReceived() throws MalformedInputException {
-        if (state == ConnectionState.QUIESCING) {
-            state = ConnectionState.OPEN;
-        }
-        if (state == ConnectionState.OPEN) {
+        if (lifecycle.inputRead()) {
             inputTracker.received();
         } else {
             in.skip(in.size());
@@ -89,9 +82,9 @@
 
     /** Writes responses that waited for the socket, and decodes buffered input. */
     private void resume() {
-        responses.writeReady();
+        writeReadyResponses();
         try {
-            if (isOpen() && state == ConnectionState.OPEN) {
+            if (isOpen() && lifecycle.acceptsRequests()) {
                 readMessages();
             }
         } catch (MalformedInputException e) {
@@ -102,7 +95,7 @@
     private void readMessages() throws MalformedInputException {
         double sliceEnd = frontend.now() + DECODE_TIME_SLICE_MS;
         boolean incomplete = false;
-        while (state == ConnectionState.OPEN && canReadMessage() && !incomplete) {
+        while (lifecycle.acceptsRequests() && canReadMessage() && !incomplete) {
             incomplete = !readMessage();
             if (frontend.now() > sliceEnd) { // another client's disconnect may be waiting to be read
                 inputScheduler.scheduleAfterNextRead();
@@ -112,12 +105,12 @@
         if (incomplete) {
             inputTracker.decoded(isMidMessage());
         }
-        if (state != ConnectionState.OPEN) {
+        if (!lifecycle.acceptsRequests()) {
             in.skip(in.size());
         }
         boolean withinLimit = reportBufferedBytes();
         if (incomplete && !withinLimit && isMidMessage()) {
-            endWithError("too many bytes of messages wait on all links");
+            abandonMessage("too many bytes of messages wait on all links");
         }
         updateReading();
     }
@@ -129,29 +122,21 @@
     /** Returns whether all connections together are within their limit. */
     private boolean reportBufferedBytes() {
         int previous = reportedBytes;
-        reportedBytes = state == ConnectionState.OPEN ? in.capacity() + parserBytes() : 0;
+        reportedBytes = lifecycle.acceptsRequests() ? in.capacity() + parserBytes() : 0;
         return frontend.addBufferedBytes(reportedBytes - previous);
     }
 
-    /** Starts or stops reading, as the state and the limits on what is buffered have it. */
+    /**
+     * Starts or stops reading. Input is read ahead of decoding up to a limit, since only reading shows that the client has
+     * disconnected.
+     */
     final void updateReading() {
         if (isOpen()) {
-            inputScheduler.setReading(mayRead());
+            boolean hasRoom = frontend.isReading() && inputScheduler.mayReadAhead(in.size());
+            inputScheduler.setReading(lifecycle.mayRead(hasRoom));
         }
     }
 
-    /**
-     * Input is read ahead of decoding up to a limit, since only reading shows that the client has disconnected. Behind
-     * malformed input, reading also keeps the error response from being lost in a reset.
-     */
-    private boolean mayRead() {
-        return switch (state) {
-            case OPEN -> frontend.isReading() && inputScheduler.mayReadAhead(in.size());
-            case DRAINING, LINGERING -> discardsInput;
-            case QUIESCING -> false;
-        };
-    }
-
     /** When the message that is being read arrived, at the latest, in milliseconds of the event loop's clock. */
     protected final double arrivalTime() {
         return inputTracker.arrivalTime();
@@ -190,10 +175,15 @@
         responses.add(response);
     }
 
-    /** Writes the responses that are next in order and ready. */
+    /** Writes the responses that are next in order and ready. A fault in one of them ends this connection alone. */
     final void writeReadyResponses() {
-        if (isOpen()) {
-            responses.writeReady();
+        try {
+            if (isOpen()) {
+                responses.writeReady();
+            }
+        } catch (RuntimeException e) {
+            log.internalError(e);
+            close();
         }
     }
 
@@ -212,17 +202,23 @@
         return buffer(bytes);
     }
 
+    @Override
+    public final void onOutOfMemory() {
+        log.warn("network buffers exhausted", "responses wait until others are sent");
+        frontend.retryWrite(this);
+    }
+
     /** Closes with the response, since a request of an idle client is more likely to cross the close. */
     @Override
     public final void beforeLastResponse() {
-        if (state == ConnectionState.OPEN && mayQuiesce()) {
-            state = ConnectionState.QUIESCING;
+        if (mayQuiesce()) {
+            lifecycle.quiesce();
         }
     }
 
     @Override
     public final void afterResponsesTaken() {
-        if (state == ConnectionState.OPEN && in.size() > 0) {
+        if (lifecycle.acceptsRequests() && in.size() > 0) {
             inputScheduler.schedule(); // the input may have waited for room in the queue
         }
         if (responses.isEmpty()) {
@@ -262,7 +258,7 @@
 
     /** Whether nothing is lost if it is closed: no request, unwritten response or undecoded message. */
     final boolean isIdle() {
-        return state == ConnectionState.OPEN && !owesResponse();
+        return lifecycle.acceptsRequests() && !owesResponse();
     }
 
     /** Whether a response is owed or on its way to the socket, or what was read may hold a request. */
@@ -293,7 +289,7 @@
     /** Responds with an error if the rest of a message is overdue. */
     final void checkReadTimeout() {
         if (isIdle() && inputTracker.isMessageOverdue()) {
-            endWithError("a message stays half sent");
+            abandonMessage("a message stays half sent");
         }
     }
 
@@ -307,19 +303,19 @@
     /** Requests that came before are still answered; then the connection is closed. */
     @Override
     protected final void onMalformed(String reason) {
-        if (state == ConnectionState.OPEN) {
-            discardsInput = true;
-            endWithError(reason);
+        if (lifecycle.acceptsRequests()) {
+            lifecycle.inputMalformed();
+            respondWithError(reason);
         }
     }
 
-    /**
-     * Responds with an error to a message that has begun, and closes the connection. Unless input is discarded, what
-     * follows is not read: it may hold whole requests, which the client sends again when the close resets the connection.
-     */
-    private void endWithError(String reason) {
+    private void abandonMessage(String reason) {
+        lifecycle.messageAbandoned();
+        respondWithError(reason);
+    }
+
+    private void respondWithError(String reason) {
         log.warn("malformed request from client", reason);
-        state = ConnectionState.DRAINING;
         in.skip(in.size());
         respond(errorResponse(reason));
         updateReading();
@@ -327,22 +323,18 @@
 
     /** Decodes no further request, as the client asked; the connection closes after its pending responses. */
     protected final void stopReading() {
-        state = ConnectionState.DRAINING;
-        discardsInput = true;
+        lifecycle.lastRequestRead();
     }
 
     /** Whether this is the last response, which is then told to the client, so that no further request is answered. */
     public final boolean announceClose() {
-        if (state == ConnectionState.QUIESCING) {
-            state = ConnectionState.DRAINING;
-        }
-        return state != ConnectionState.OPEN;
+        return lifecycle.announceClose();
     }
 
     /** Closes an idle connection gracefully; a message that is incomplete is answered with an error. */
     final void drain() {
         if (hasBufferedInput()) {
-            endWithError("the gateway shuts down");
+            abandonMessage("the gateway shuts down");
         } else {
             quiesce();
             shutDownIfFlushed();
@@ -355,7 +347,7 @@
     }
 
     private void quiesce() {
-        state = ConnectionState.QUIESCING;
+        lifecycle.quiesce();
         updateReading();
     }
 
@@ -364,16 +356,16 @@
         if (!isOpen() || !responses.isFlushed()) {
             return;
         }
-        if (state == ConnectionState.DRAINING) {
+        if (lifecycle.isDraining()) {
             shutDownOutput();
-        } else if (state == ConnectionState.QUIESCING) {
+        } else if (lifecycle.isQuiescing()) {
             // The selector may have found input already, which is then read in this turn although reading has stopped.
             channel().eventLoop().execute(this::shutDownIfQuiet);
         }
     }
 
     private void shutDownIfQuiet() {
-        if (isOpen() && state == ConnectionState.QUIESCING && responses.isFlushed()) {
+        if (isOpen() && lifecycle.isQuiescing() && responses.isFlushed()) {
             shutDownOutput();
         }
     }
@@ -382,7 +374,7 @@
             "FutureReturnValueIgnored") // whatever became of it, the connection is closed after the linger time
     private void shutDownOutput() {
         // The output first: to close with unread input would reset responses on their way.
-        state = ConnectionState.LINGERING;
+        lifecycle.outputShutDown();
         ((DuplexChannel) channel()).shutdownOutput();
         updateReading();
         frontend.closeAfterLinger(this);
--- a/gateway/src/main/java/stonelb/gateway/frontend/Frontend.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/Frontend.java
@@ -23,6 +23,9 @@
     /** For the client to receive its last responses before the connection is closed. */
     private static final double CLOSE_LINGER_MS = 200;
 
+    /** Before a response for which there was no network buffer is written again. */
+    private static final double WRITE_RETRY_MS = 5;
+
     /** Of the requests in flight, from a heap of 48 MB. */
     private static final long MAX_REQUEST_BYTES = 12L << 20;
 
@@ -151,6 +154,11 @@
         loop.timers().scheduleAfter(0, (now, token) -> task.run(), 0);
     }
 
+    /** Has the connection write its responses after a pause, in which others may have given memory back. */
+    final void retryWrite(ClientConnection connection) {
+        loop.timers().scheduleAfter(WRITE_RETRY_MS, (now, token) -> connection.writeReadyResponses(), 0);
+    }
+
     /** Closes the connection after a moment in which the client can receive what was written. */
     final void closeAfterLinger(ClientConnection connection) {
         loop.timers().scheduleAfter(CLOSE_LINGER_MS, (now, token) -> connection.close(), 0);
--- a/gateway/src/main/java/stonelb/gateway/frontend/ResponseWriter.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ResponseWriter.java
@@ -14,7 +14,7 @@
     private static final int INITIAL_BUFFER_BYTES = 512;
 
     /** Bytes of responses in one write; more are written once the socket has taken these. */
-    private static final int MAX_WRITE_BYTES = 64 * 1024;
+    private static final int MAX_WRITE_BYTES = 32 * 1024;
 
     /** The connection on which responses are written. */
     interface Output {
@@ -25,9 +25,16 @@
         /** Whether the socket takes more at present. */
         boolean isWritable();
 
-        /** A new buffer of that initial size. */
+        /**
+         * A new buffer of that initial size.
+         *
+         * @throws OutOfMemoryError if the memory for network buffers is used up, as it may be for a moment
+         */
         ByteBuf newBuffer(int bytes);
 
+        /** Called when a response waits for memory; {@link ResponseWriter#writeReady} is to be called again soon. */
+        void onOutOfMemory();
+
         /** Called before the last response that is owed is written. */
         void beforeLastResponse();
 
@@ -76,32 +83,64 @@
 
     /** Writes the responses at the head of the queue that are ready, as far as the socket takes them. */
     void writeReady() {
-        while (isNextReady() && output.isWritable()) {
-            ByteBuf out = output.newBuffer(INITIAL_BUFFER_BYTES);
-            encodeReady(out);
-            output.afterResponsesTaken();
-            if (pendingWrites++ == 0) {
-                lastWriteAt = output.now();
-            }
-            output.write(out).addListener(write -> {
-                pendingWrites--;
-                lastWriteAt = output.now();
-                output.onWriteCompleted(write.isSuccess());
-            });
+        boolean hasMemory = true;
+        while (hasMemory && isNextReady() && output.isWritable()) {
+            hasMemory = writeBatch();
+        }
+        if (!hasMemory) {
+            output.onOutOfMemory();
         }
     }
 
+    /** Writes some responses; returns whether the memory for network buffers sufficed. */
+    private boolean writeBatch() {
+        ByteBuf out;
+        try {
+            out = output.newBuffer(INITIAL_BUFFER_BYTES);
+        } catch (OutOfMemoryError e) {
+            return false;
+        }
+        boolean hasMemory = encodeReady(out);
+        if (!out.isReadable()) {
+            out.release();
+            return hasMemory;
+        }
+        output.afterResponsesTaken();
+        write(out);
+        return hasMemory;
+    }
+
+    private void write(ByteBuf out) {
+        if (pendingWrites++ == 0) {
+            lastWriteAt = output.now();
+        }
+        output.write(out).addListener(write -> {
+            pendingWrites--;
+            lastWriteAt = output.now();
+            output.onWriteCompleted(write.isSuccess());
+        });
+    }
+
     private boolean isNextReady() {
         return !responses.isEmpty() && responses.peek().isReady();
     }
 
-    private void encodeReady(ByteBuf out) {
+    /** Takes responses off the queue; one for which there is no memory stays. Returns whether there was. */
+    private boolean encodeReady(ByteBuf out) {
         while (isNextReady() && out.readableBytes() < MAX_WRITE_BYTES) {
             if (responses.size() == 1) {
                 output.beforeLastResponse();
             }
-            responses.poll().writeResponse(out);
+            int start = out.writerIndex();
+            try {
+                responses.peek().writeResponse(out);
+            } catch (OutOfMemoryError e) {
+                out.writerIndex(start);
+                return false;
+            }
+            responses.poll();
         }
+        return true;
     }
 
     /** Removes all responses and returns the requests among them that have none yet. */
--- a/gateway/src/test/java/stonelb/gateway/ConfigurationReloadTest.java
+++ b/gateway/src/test/java/stonelb/gateway/ConfigurationReloadTest.java
@@ -110,6 +110,35 @@
         }
     }
 
+    /** The last of several configurations is the one in use, and no request is lost on the way there. */
+    @Test
+    void configurationsInQuickSuccessionEndWithTheLast() throws Exception {
+        try (StubPlatform first = new StubPlatform();
+                StubPlatform last = new StubPlatform()) {
+            String config = first.config("127.0.0.1:0", GatewayProcess.FIVE);
+            String lastConfig = config.replace(first.discovery.address(), last.discovery.address())
+                    .replace(first.counter.address(), last.counter.address());
+            try (GatewayProcess program = new GatewayProcess(folder, config, null);
+                    Client client = new Client(program.port("RESP2 requests"))) {
+                for (int i = 0; i < 11; i++) {
+                    replace(i % 2 == 0 ? lastConfig : config, program);
+                    expectServed(client);
+                }
+                GatewayProcess.until("the last configuration is in use", () -> {
+                    int ranThere = last.ran.size();
+                    expectServed(client);
+                    return last.ran.size() > ranThere;
+                });
+                int ranBefore = first.ran.size();
+                for (int i = 0; i < 20; i++) {
+                    expectServed(client);
+                }
+                assertEquals(ranBefore, first.ran.size());
+                assertNull(program.line("internal error"));
+            }
+        }
+    }
+
     /** Under nohup SIGHUP is ignored: this is logged, and a replaced file is read all the same. */
     @Test
     void processIgnoringSighupLogsItAndReloadsReplacedFile() throws Exception {
