Write the chart whole or not at all, and name the file where that fails

Cause: ScalingChart let XChart open the file itself, which cut the old chart off at once and reported "I/O error writing PNG file!" without a name; the settings that try and measure write for their own programs went through Files.writeString. Change: AtomicFileWriter in cli (temporary file in the same folder, sync, atomic rename, sync of the folder; the temporary file is removed on failure, the old file stays, one line names the file). Measured: AtomicFileWriterTest runs the command line under a file size limit, so that the system ends the write half-way. With the old ScalingChart it printed "expected: <[stonelb: can't write .../chart.png: File too large]> but was: <[stonelb: I/O error writing PNG file!]>"; now 4 of 4 pass, exit code 1, old file unchanged, no temporary file. Ruled out by reading: the gateway, control service, proxy and simulator adapter write no file; their logs go to standard error. EIO and a full disk themselves were not played, only the file size limit and an exception half-way.

--- a/cli/src/main/java/stonelb/cli/LocalDeployment.java
+++ b/cli/src/main/java/stonelb/cli/LocalDeployment.java
@@ -60,7 +60,7 @@
         platform.workMs = workMs;
         this.gateways = gateways;
         folder = Files.createTempDirectory("stonelb");
-        Files.writeString(descriptionFile(), StubFleet.DESCRIPTION);
+        AtomicFileWriter.write(descriptionFile(), StubFleet.DESCRIPTION);
         client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     }
 
@@ -74,7 +74,7 @@
 
     private Path writeConfiguration(String name) throws IOException {
         Path file = folder.resolve(name + ".json");
-        Files.writeString(file, platform.config(name, ANY_PORT, gateways));
+        AtomicFileWriter.write(file, platform.config(name, ANY_PORT, gateways));
         return file;
     }
 
@@ -111,7 +111,7 @@
         settings.addProperty("gateway", configurationFile.toString());
         settings.addProperty("description", descriptionFile().toString());
         Path settingsFile = folder.resolve("control-settings.json");
-        Files.writeString(settingsFile, new Gson().toJson(settings));
+        AtomicFileWriter.write(settingsFile, new Gson().toJson(settings));
         controlService = new ControlService(readConfiguration(configurationFile), ControlSettings.read(settingsFile));
         controlService.start();
     }
--- a/cli/src/main/java/stonelb/cli/Main.java
+++ b/cli/src/main/java/stonelb/cli/Main.java
@@ -38,7 +38,15 @@
      */
     public static void main(String[] args) {
         Main main = new Main();
-        CommandLine commandLine = new CommandLine(main);
+        int exitCode = main.commandLine().execute(args);
+        if (exitCode != 0 || !main.runsInBackground) {
+            System.exit(exitCode);
+        }
+    }
+
+    /** All commands. One that fails for an expected reason prints it as one line. */
+    CommandLine commandLine() {
+        CommandLine commandLine = new CommandLine(this);
         commandLine.setExecutionExceptionHandler((exception, command, parsed) -> {
             if (exception instanceof InvalidConfigurationException || exception instanceof IOException) {
                 command.getErr().println("stonelb: " + exception.getMessage());
@@ -46,10 +54,7 @@
             }
             throw exception;
         });
-        int exitCode = commandLine.execute(args);
-        if (exitCode != 0 || !main.runsInBackground) {
-            System.exit(exitCode);
-        }
+        return commandLine;
     }
 
     /** Fails: the program needs a command. */
--- a/cli/src/main/java/stonelb/cli/ScalingChart.java
+++ b/cli/src/main/java/stonelb/cli/ScalingChart.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
+import javax.imageio.ImageIO;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -30,7 +31,7 @@
     private ScalingChart() {}
 
     /**
-     * Writes the chart.
+     * Writes the chart. Where that fails, the file stays as it was.
      *
      * @param points the figures in ascending order of streams
      * @param file the PNG file to write
@@ -51,7 +52,9 @@
         chart.addSeries("report to assignment, p99 ms", streams, series(points, Point::assignmentMs));
         chart.addSeries("heap, clients included, MB", streams, series(points, Point::heapMb));
         chart.addSeries("one changed endpoint, all streams, KB", streams, series(points, Point::changeKb));
-        BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
+        ImageIO.setUseCache(false); // it would write a temporary file of its own
+        byte[] png = BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG);
+        AtomicFileWriter.write(file, out -> out.write(png));
     }
 
     private static double[] series(List<Point> points, ToDoubleFunction<Point> figure) {
