End the stream of an invalid usage report with INVALID_ARGUMENT

Cause: RateLimitQuotaService first closed the stream through the registry, with OK; the status that followed had no effect. Change: the status is sent first, then the registry is told. Measured: QuotaReportTest printed "expected: <INVALID_ARGUMENT> but was: <OK>" in both its tests (other domain, too many buckets); both pass now. Ruled out by the second test: reports that follow the invalid one on the wire are not counted and do not connect the proxy again; that test passes with the order of the two calls alone.

--- a/control/src/main/java/stonelb/control/RateLimitQuotaService.java
+++ b/control/src/main/java/stonelb/control/RateLimitQuotaService.java
@@ -65,9 +65,8 @@
             String fault = faultOf(message);
             firstReportReceived = true;
             if (fault != null) {
-                close();
-                // No effect today: the stream was just closed with OK, which is what the proxy sees.
                 outbox.close(Status.INVALID_ARGUMENT.withDescription(fault));
+                close();
                 return;
             }
             for (BucketQuotaUsage usage : message.getBucketQuotaUsagesList()) {
