Give a rejected stream of load reports one final status

Cause: LoadReportingService checked each further message of a rejected stream anew and answered its end as well; gRPC throws at a second final status. Change: a rejected stream ignores what follows. Measured: LoadReportingServiceTest printed "expected: <[PERMISSION_DENIED]> but was: <[PERMISSION_DENIED, PERMISSION_DENIED, OK]>"; it passes now. Ruled out by reading: quota streams (AssignmentOutbox.close is done once) and ADS streams (AdsCall.ended).

--- a/control/src/main/java/stonelb/control/LoadReportingService.java
+++ b/control/src/main/java/stonelb/control/LoadReportingService.java
@@ -38,6 +38,7 @@
         private final StreamObserver<LoadStatsResponse> responses;
         private final String headerNode; // or null
         private String node; // null until the first report is accepted
+        private boolean rejected;
 
         LoadReportStream(StreamObserver<LoadStatsResponse> responses, String headerNode) {
             this.responses = responses;
@@ -46,7 +47,7 @@
 
         @Override
         public void onNext(LoadStatsRequest request) {
-            if (node == null && !identify(request.getNode().getId())) {
+            if (rejected || (node == null && !identify(request.getNode().getId()))) {
                 return;
             }
             for (ClusterStats cluster : request.getClusterStatsList()) {
@@ -58,6 +59,7 @@
         private boolean identify(String reportedNode) {
             String candidate = reportedNode.isEmpty() ? headerNode : reportedNode;
             if (!isPermitted(candidate)) {
+                rejected = true;
                 responses.onError(Status.PERMISSION_DENIED
                         .withDescription("load reports name no node, or one that is not this peer's")
                         .asRuntimeException());
@@ -118,7 +120,9 @@
 
         @Override
         public void onCompleted() {
-            responses.onCompleted();
+            if (!rejected) {
+                responses.onCompleted();
+            }
         }
     }
 
