Let any thread read a control client's pools and whether it is ready

Cause: ControlClient.ready() and pools() were called by other threads (command line, tests) while the executor thread changed the map of pools and the endpoints of a pool. Change: the pools are in a concurrent map that callers can't modify; a pool publishes its list of endpoints as a whole; what the public methods of an endpoint read is volatile. The callers stay as they are. Measured: ProxyResourcesTest (5,000 changes against a reading thread) printed "expected: <3> but was: <1>" on a pool that holds 3 endpoints at any time; it passes now. Ruled out: reading on the executor thread and waiting for it, since listeners call pools() on that thread and would wait for themselves.

--- a/follower/src/main/java/stonelb/follower/ControlClient.java
+++ b/follower/src/main/java/stonelb/follower/ControlClient.java
@@ -154,12 +154,12 @@
                 adsSession.isConnected())));
     }
 
-    /** Whether there are routes and an endpoint that accepts requests. To be called on the executor thread. */
+    /** Whether there are routes and an endpoint that accepts requests. */
     public boolean ready() {
         return resources.isReady();
     }
 
-    /** The pools by cluster name, a live view. To be used on the executor thread. */
+    /** The pools by cluster name, a live view. Of a pool, other threads may use {@link EndpointPool#endpoints} alone. */
     public Map<String, EndpointPool> pools() {
         return resources.pools();
     }
--- a/follower/src/main/java/stonelb/follower/EndpointPool.java
+++ b/follower/src/main/java/stonelb/follower/EndpointPool.java
@@ -19,7 +19,7 @@
 /**
  * The endpoints of one cluster, with its circuit breaker and the counts that load reports are made of. Endpoints are
  * picked by smooth weighted round robin among those that accept requests. The class does no I/O; its state belongs to
- * the executor thread of the {@link ControlClient}.
+ * the executor thread of the {@link ControlClient}, and {@link #endpoints} alone may be called from any thread.
  */
 public final class EndpointPool {
     /** Envoy's default of {@code max_requests}. */
@@ -28,6 +28,9 @@
     private final String name;
     private final Map<String, UpstreamEndpoint> endpoints = new LinkedHashMap<>();
 
+    /** The assigned endpoints as other threads see them; replaced as a whole. */
+    private volatile List<UpstreamEndpoint> assignedEndpoints = List.of();
+
     /** Endpoints that are no longer assigned and may still have requests in flight. */
     private final List<UpstreamEndpoint> draining = new ArrayList<>();
 
@@ -71,6 +74,7 @@
                 assigned.put(key, endpoint);
             }
         }
+        assignedEndpoints = List.copyOf(assigned.values());
         endpoints.values().forEach(UpstreamEndpoint::drain);
         draining.addAll(endpoints.values());
         endpoints.clear();
@@ -148,9 +152,9 @@
         return maxInFlight;
     }
 
-    /** The assigned endpoints, those that accept no requests included. */
+    /** The assigned endpoints, those that accept no requests included. May be called from any thread. */
     public List<UpstreamEndpoint> endpoints() {
-        return List.copyOf(endpoints.values());
+        return assignedEndpoints;
     }
 
     /** The load of the cluster since the last report ({@code envoy.config.endpoint.v3}); starts the counts anew. */
--- a/follower/src/main/java/stonelb/follower/ProxyResources.java
+++ b/follower/src/main/java/stonelb/follower/ProxyResources.java
@@ -10,11 +10,15 @@
 import io.envoyproxy.envoy.extensions.filters.network.http_connection_manager.v3.HttpConnectionManager;
 import io.envoyproxy.envoy.extensions.filters.network.http_connection_manager.v3.HttpFilter;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
-/** The resources in use: routes, the quota filter of the listener, and a pool of endpoints for each cluster. */
+/**
+ * The resources in use: routes, the quota filter of the listener, and a pool of endpoints for each cluster. The executor
+ * thread of the {@link ControlClient} changes them; {@link #pools} and {@link #isReady} may be called from any thread.
+ */
 final class ProxyResources {
 
     /** Told what a change of the resources requires. */
@@ -28,22 +32,22 @@
     }
 
     private final ChangeListener changeListener;
-    private final Map<String, EndpointPool> pools = new HashMap<>();
+    private final Map<String, EndpointPool> pools = new ConcurrentHashMap<>();
 
     /** Endpoint assignments in use, for clusters that arrive later. */
     private Map<String, Any> endpointAssignments = Map.of();
 
     private RateLimitQuotaFilterConfig quotaFilter;
     private RouteConfiguration routeConfiguration;
-    private RouteTable routeTable;
+    private volatile RouteTable routeTable;
 
     ProxyResources(ChangeListener changeListener) {
         this.changeListener = changeListener;
     }
 
-    /** The pools by cluster name. */
+    /** The pools by cluster name, a live view that can't be modified. */
     Map<String, EndpointPool> pools() {
-        return pools;
+        return Collections.unmodifiableMap(pools);
     }
 
     /** The routes, or null before the first. */
--- a/follower/src/main/java/stonelb/follower/UpstreamEndpoint.java
+++ b/follower/src/main/java/stonelb/follower/UpstreamEndpoint.java
@@ -10,7 +10,8 @@
 
 /**
  * An endpoint of a cluster: its assigned weight and health, its place in the weighted round robin, and the counts since
- * the last load report.
+ * the last load report. Its state belongs to the executor thread of the {@link ControlClient}; the public methods may be
+ * called from any thread.
  */
 public final class UpstreamEndpoint {
     private static final String LATENCY_METRIC = "latency_ms";
@@ -22,8 +23,8 @@
     public final int port;
 
     private Locality locality;
-    private int weight = 1;
-    private boolean acceptsRequests;
+    private volatile int weight = 1;
+    private volatile boolean acceptsRequests;
     private double currentWeight;
     private long inFlight;
     private long issued;
