Keep a control client running when a callback throws

Cause: an exception of one request's callback ended the periodic task of ControlClient for good: requests that waited for an assignment got no decision, and no report left any more. On the other path it cancelled the quota stream. Change: tasks and callbacks that throw are logged, and the rest goes on. Measured: StandInProxyTest.callbackThatThrowsKeepsNoOtherRequestFromItsDecision ended with TimeoutException after 5 s; it passes now. Ruled out: catching in RequestRouter alone, since any other task of the timer would still end it.

--- a/follower/src/main/java/stonelb/follower/ControlClient.java
+++ b/follower/src/main/java/stonelb/follower/ControlClient.java
@@ -20,6 +20,7 @@
  * they say otherwise.
  */
 public final class ControlClient implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(ControlClient.class.getName());
     private static final long TICK_INTERVAL_MS = 5;
     private static final int MICROS_PER_MILLI = 1000;
 
@@ -92,11 +93,20 @@
     private Runnable unlessClosed(Runnable task) {
         return () -> {
             if (!closed) {
-                task.run();
+                runAndLogFailure(task);
             }
         };
     }
 
+    /** Runs a task; one that throws must end neither the periodic task nor the stream that it is called from. */
+    private static void runAndLogFailure(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "a task or callback of the control client failed", e);
+        }
+    }
+
     /** Adds a listener that is called on the executor thread whenever resources have come into use. */
     public void onResources(Runnable listener) {
         resourceListeners.add(listener);
@@ -126,7 +136,7 @@
      *     most
      */
     public void decide(ProxyRequest request, Consumer<RoutingDecision> callback) {
-        execute(() -> router.decide(request, callback));
+        execute(() -> router.decide(request, decision -> runAndLogFailure(() -> callback.accept(decision))));
     }
 
     private void sendUrgentReports(double nowMs) {
