Answer requests that the proxy can't put on the wire again

Cause: RequestForwarder appended the whole request URI to the endpoint's address, which is no valid URI where the request came in absolute form; a header with a control character was rejected by the HTTP client as well. Either exception was lost on the executor thread after an endpoint had been picked: the client got no response, and the endpoint's attempt stayed in flight for good. Change: path and query alone are sent; the request is copied before an endpoint is picked, and what can't be copied gets 400. Measured: StandInProxyTest.requestInAbsoluteFormIsForwarded and requestThatCanNotBeForwardedIsRejected ended with "SocketTimeoutException: Read timed out" after 5 s; both pass now. Ruled out: two responses to one request; each attempt ends in one place, which retries or responds.

--- a/control/src/test/java/stonelb/control/StandInProxyTest.java
+++ b/control/src/test/java/stonelb/control/StandInProxyTest.java
@@ -1,8 +1,14 @@
 package stonelb.control;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +24,7 @@
 
 /** Every request that the stub proxy accepts gets one response, in time. */
 class StandInProxyTest {
+    private static final int SOCKET_TIMEOUT_MS = 5000;
 
     @TempDir
     Path folder;
@@ -38,6 +45,44 @@
         });
     }
 
+    private static HttpText exchange(StandInProxy proxy, String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), proxy.port())) {
+            socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+            StubServer.write(socket.getOutputStream(), request);
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            return StubServer.http(in);
+        }
+    }
+
+    @Test
+    void requestInAbsoluteFormIsForwarded() throws Exception {
+        LinkedBlockingQueue<HttpText> received = new LinkedBlockingQueue<>();
+        try (StubServer endpoint = answering(received);
+                ControlTestHarness harness = harness(endpoint)) {
+            StandInProxy proxy = harness.startProxy("p", true);
+            HttpText response = exchange(
+                    proxy,
+                    "GET http://plans/v1/plans/7?a=b HTTP/1.1\r\nHost: plans\r\nX-Plan: red\r\nX-Customer: a1\r\n\r\n");
+            assertEquals(200, response.status());
+            assertEquals("/v1/plans/7?a=b", received.take().target());
+        }
+    }
+
+    @Test
+    void requestThatCanNotBeForwardedIsRejected() throws Exception {
+        LinkedBlockingQueue<HttpText> received = new LinkedBlockingQueue<>();
+        try (StubServer endpoint = answering(received);
+                ControlTestHarness harness = harness(endpoint)) {
+            StandInProxy proxy = harness.startProxy("p", true);
+            HttpText response = exchange(
+                    proxy,
+                    "GET /v1/plans/7 HTTP/1.1\r\nHost: plans\r\nX-Plan: red\r\nX-Customer: a1\r\nX-Odd: a\u0001b\r\n\r\n");
+            assertEquals(400, response.status());
+            assertTrue(received.isEmpty(), "no attempt was made");
+            assertEquals(200, harness.sendRequest(proxy, "a1", "red"));
+        }
+    }
+
     /** Without a service there is no assignment: requests are decided at the end of their wait, by the client's timer. */
     @Test
     void callbackThatThrowsKeepsNoOtherRequestFromItsDecision() throws Exception {
--- a/proxy/src/main/java/stonelb/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/stonelb/proxy/ProxiedRequest.java
@@ -48,15 +48,17 @@
 
     /** The request in the form on which the control client decides. */
     ProxyRequest toProxyRequest() {
-        return new ProxyRequest(method(), uri().getRawPath(), headers);
+        return new ProxyRequest(method(), exchange.getRequestURI().getRawPath(), headers);
     }
 
     String method() {
         return exchange.getRequestMethod();
     }
 
-    URI uri() {
-        return exchange.getRequestURI();
+    /** Path and query as received, also where the request names its server before them (absolute form). */
+    String target() {
+        URI uri = exchange.getRequestURI();
+        return uri.getRawQuery() == null ? uri.getRawPath() : uri.getRawPath() + "?" + uri.getRawQuery();
     }
 
     /** First value of each header by name in lower case, {@code :method} included. */
--- a/proxy/src/main/java/stonelb/proxy/RequestForwarder.java
+++ b/proxy/src/main/java/stonelb/proxy/RequestForwarder.java
@@ -31,6 +31,7 @@
     private static final double MIN_ATTEMPT_TIMEOUT_MS = 1;
     private static final double NO_LATENCY = -1;
 
+    private static final int BAD_REQUEST = 400;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int BAD_GATEWAY = 502;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -55,6 +56,14 @@
     /** Sends the next attempt of a request. Runs on the control client's executor thread. */
     @SuppressWarnings("FutureReturnValueIgnored") // failures reach attemptEnded
     void forward(ProxiedRequest request, RoutingDecision.Forward decision) {
+        HttpRequest.Builder forwarded;
+        try {
+            forwarded = copyOf(request);
+        } catch (IllegalArgumentException e) {
+            // The client sent something that must not be sent on, such as a control character in a header.
+            request.respond(BAD_REQUEST);
+            return;
+        }
         EndpointPool pool = decision.pool();
         UpstreamEndpoint endpoint = request.pickEndpoint(pool);
         if (endpoint == null) {
@@ -70,24 +79,34 @@
         }
         Attempt attempt = new Attempt(request, decision, endpoint, startedAtMs);
         httpClient
-                .sendAsync(buildHttpRequest(request, endpoint, remainingMs), BodyHandlers.ofByteArray())
+                .sendAsync(address(forwarded, request, endpoint, remainingMs), BodyHandlers.ofByteArray())
                 .whenComplete(
                         (response, failure) -> controlClient.execute(() -> attemptEnded(attempt, response, failure)));
     }
 
-    private static HttpRequest buildHttpRequest(ProxiedRequest request, UpstreamEndpoint endpoint, double timeoutMs) {
+    private static HttpRequest address(
+            HttpRequest.Builder forwarded, ProxiedRequest request, UpstreamEndpoint endpoint, double timeoutMs) {
+        return forwarded
+                .uri(URI.create("http://" + endpoint.address + ":" + endpoint.port + request.target()))
+                .timeout(Duration.ofMillis((long) timeoutMs))
+                .build();
+    }
+
+    /**
+     * Copies a request without its address.
+     *
+     * @throws IllegalArgumentException if its method or a header can't be sent
+     */
+    private static HttpRequest.Builder copyOf(ProxiedRequest request) {
         BodyPublisher body =
                 request.body().length == 0 ? BodyPublishers.noBody() : BodyPublishers.ofByteArray(request.body());
-        HttpRequest.Builder builder = HttpRequest.newBuilder(
-                        URI.create("http://" + endpoint.address + ":" + endpoint.port + request.uri()))
-                .timeout(Duration.ofMillis((long) timeoutMs))
-                .method(request.method(), body);
+        HttpRequest.Builder builder = HttpRequest.newBuilder().method(request.method(), body);
         request.headers().forEach((name, value) -> {
             if (!name.startsWith(":") && !NOT_FORWARDED_HEADERS.contains(name)) {
                 builder.header(name, value);
             }
         });
-        return builder.build();
+        return builder;
     }
 
     /** Counts the attempt, then retries or responds. Either {@code response} or {@code failure} is null. */
