Let the time limit hold for the whole response of an endpoint

Cause: the timeout of the HTTP client ends with the response's headers. An endpoint that stalls in the body left the request without a response and the attempt in flight. Change: the limit is set on the whole exchange, which is cancelled when it has passed. A request whose time is up gets 504 in all cases; one that must not be repeated got 502. Measured: StandInProxyTest.responseWhoseBodyStallsEndsAtTheTimeLimit ended with HttpTimeoutException after 10 s (the route's limit is 4 s); it passes now.

--- a/control/src/test/java/stonelb/control/StandInProxyTest.java
+++ b/control/src/test/java/stonelb/control/StandInProxyTest.java
@@ -7,9 +7,15 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -25,6 +31,7 @@
 /** Every request that the stub proxy accepts gets one response, in time. */
 class StandInProxyTest {
     private static final int SOCKET_TIMEOUT_MS = 5000;
+    private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(10);
 
     @TempDir
     Path folder;
@@ -54,6 +61,16 @@
         }
     }
 
+    private static HttpResponse<String> get(StandInProxy proxy, String timeLeftMs) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + proxy.port() + "/v1/plans/7"))
+                .header("X-Customer", "a1")
+                .header("X-Plan", "red")
+                .header("X-Time-Left-Ms", timeLeftMs)
+                .timeout(CLIENT_TIMEOUT)
+                .build();
+        return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     @Test
     void requestInAbsoluteFormIsForwarded() throws Exception {
         LinkedBlockingQueue<HttpText> received = new LinkedBlockingQueue<>();
@@ -83,6 +100,21 @@
         }
     }
 
+    @Test
+    void responseWhoseBodyStallsEndsAtTheTimeLimit() throws Exception {
+        try (StubServer endpoint = new StubServer(StandInProxyTest::stallInBody);
+                ControlTestHarness harness = harness(endpoint)) {
+            StandInProxy proxy = harness.startProxy("p", true);
+            assertEquals(504, get(proxy, "60000").statusCode());
+        }
+    }
+
+    private static void stallInBody(InputStream in, OutputStream out) throws IOException {
+        StubServer.http(in);
+        StubServer.write(out, "HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nhalf");
+        StubServer.http(in); // until the proxy closes the connection
+    }
+
     /** Without a service there is no assignment: requests are decided at the end of their wait, by the client's timer. */
     @Test
     void callbackThatThrowsKeepsNoOtherRequestFromItsDecision() throws Exception {
--- a/proxy/src/main/java/stonelb/proxy/RequestForwarder.java
+++ b/proxy/src/main/java/stonelb/proxy/RequestForwarder.java
@@ -10,7 +10,10 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import stonelb.follower.ClusterRoute;
 import stonelb.follower.ControlClient;
 import stonelb.follower.EndpointPool;
@@ -29,6 +32,7 @@
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final double MIN_ATTEMPT_TIMEOUT_MS = 1;
+    private static final int MICROS_PER_MILLI = 1000;
     private static final double NO_LATENCY = -1;
 
     private static final int BAD_REQUEST = 400;
@@ -54,7 +58,6 @@
     }
 
     /** Sends the next attempt of a request. Runs on the control client's executor thread. */
-    @SuppressWarnings("FutureReturnValueIgnored") // failures reach attemptEnded
     void forward(ProxiedRequest request, RoutingDecision.Forward decision) {
         HttpRequest.Builder forwarded;
         try {
@@ -78,17 +81,28 @@
             return;
         }
         Attempt attempt = new Attempt(request, decision, endpoint, startedAtMs);
-        httpClient
-                .sendAsync(address(forwarded, request, endpoint, remainingMs), BodyHandlers.ofByteArray())
-                .whenComplete(
-                        (response, failure) -> controlClient.execute(() -> attemptEnded(attempt, response, failure)));
+        send(attempt, address(forwarded, request, endpoint), remainingMs);
+    }
+
+    /** Sends an attempt. The timeout is that of the whole response; the HTTP client's own ends with the headers. */
+    @SuppressWarnings("FutureReturnValueIgnored") // failures reach attemptEnded
+    private void send(Attempt attempt, HttpRequest httpRequest, double timeoutMs) {
+        CompletableFuture<HttpResponse<byte[]>> exchange =
+                httpClient.sendAsync(httpRequest, BodyHandlers.ofByteArray());
+        exchange.copy()
+                .orTimeout((long) (timeoutMs * MICROS_PER_MILLI), TimeUnit.MICROSECONDS)
+                .whenComplete((response, failure) -> {
+                    if (failure instanceof TimeoutException) {
+                        exchange.cancel(true);
+                    }
+                    controlClient.execute(() -> attemptEnded(attempt, response, failure));
+                });
     }
 
     private static HttpRequest address(
-            HttpRequest.Builder forwarded, ProxiedRequest request, UpstreamEndpoint endpoint, double timeoutMs) {
+            HttpRequest.Builder forwarded, ProxiedRequest request, UpstreamEndpoint endpoint) {
         return forwarded
                 .uri(URI.create("http://" + endpoint.address + ":" + endpoint.port + request.target()))
-                .timeout(Duration.ofMillis((long) timeoutMs))
                 .build();
     }
 
@@ -123,8 +137,15 @@
         } else if (response != null) {
             request.respond(response.statusCode(), 0, response.body());
         } else {
-            request.respond(notExecuted ? SERVICE_UNAVAILABLE : BAD_GATEWAY);
+            request.respond(failureStatus(failure, notExecuted));
+        }
+    }
+
+    private static int failureStatus(Throwable failure, boolean notExecuted) {
+        if (failure instanceof TimeoutException) {
+            return GATEWAY_TIMEOUT;
         }
+        return notExecuted ? SERVICE_UNAVAILABLE : BAD_GATEWAY;
     }
 
     /** Whether the endpoint certainly did not execute the request: it could not be reached, or it said so. */
