Tell endpoints behind the proxy what their client has left

Cause: the proxy sent X-Time-Left-Ms on as it came, after any wait and attempt before, sent none where the client gave none, and did not end at the client's own limit. Change: each attempt carries what is left at its start of the lower of the client's and the route's limit, rounded down, and ends then. Measured: StandInProxyTest.endpointIsToldWhatTheClientHasLeft printed "second 900 ==> expected: <true> but was: <false>" (of 900 ms a first attempt had used 200); it passes now. Left: the time to open a new connection, 1 s at most, comes after the header is made; java.net.http sets no header later.

--- a/control/src/test/java/stonelb/control/StandInProxyTest.java
+++ b/control/src/test/java/stonelb/control/StandInProxyTest.java
@@ -115,6 +115,33 @@
         StubServer.http(in); // until the proxy closes the connection
     }
 
+    /** The first attempt takes a while and fails; the second is told what is left then. */
+    @Test
+    void endpointIsToldWhatTheClientHasLeft() throws Exception {
+        int clientHasMs = 900;
+        int firstAttemptMs = 200;
+        LinkedBlockingQueue<Map<String, String>> received = new LinkedBlockingQueue<>();
+        StubServer.ConnectionHandler failingFirst = (in, out) -> {
+            while (true) {
+                received.add(StubServer.http(in).headers());
+                boolean first = received.size() == 1;
+                if (first) {
+                    Thread.sleep(firstAttemptMs);
+                }
+                StubServer.write(out, StubServer.httpAnswer(first ? 500 : 200, "", "answer"));
+            }
+        };
+        try (StubServer endpoint = new StubServer(failingFirst);
+                ControlTestHarness harness = harness(endpoint)) {
+            StandInProxy proxy = harness.startProxy("p", true);
+            assertEquals(200, get(proxy, Integer.toString(clientHasMs)).statusCode());
+            int firstMs = Integer.parseInt(received.take().get("x-time-left-ms"));
+            int secondMs = Integer.parseInt(received.take().get("x-time-left-ms"));
+            assertTrue(firstMs >= 1 && firstMs <= clientHasMs, "first " + firstMs);
+            assertTrue(secondMs >= 1 && secondMs <= clientHasMs - firstAttemptMs, "second " + secondMs);
+        }
+    }
+
     /** Without a service there is no assignment: requests are decided at the end of their wait, by the client's timer. */
     @Test
     void callbackThatThrowsKeepsNoOtherRequestFromItsDecision() throws Exception {
--- a/proxy/src/main/java/stonelb/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/stonelb/proxy/ProxiedRequest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.regex.Pattern;
 import stonelb.follower.ClusterRoute;
 import stonelb.follower.EndpointPool;
 import stonelb.follower.MonotonicClock;
@@ -18,8 +19,12 @@
 
 /** A client's request, from its arrival to its one response. */
 final class ProxiedRequest {
+    /** Header, in lower case, that says for how many milliseconds the sender still waits for a response. */
+    static final String TIME_LEFT_HEADER = "x-time-left-ms";
+
     private static final double MILLIS_PER_SECOND = 1000;
     private static final int NO_BODY = -1;
+    private static final Pattern TIME_LEFT = Pattern.compile("\\d{1,15}(\\.\\d{1,15})?");
 
     private final HttpExchange exchange;
     private final byte[] body;
@@ -80,9 +85,15 @@
         return endpoint;
     }
 
-    /** The time in milliseconds that the route's time limit leaves; negative once it has passed. */
+    /** The time in milliseconds that the client and the route's time limit leave; negative once it has passed. */
     double remainingMs(ClusterRoute route, double nowMs) {
-        return receivedAtMs + route.timeoutMs() - nowMs;
+        return receivedAtMs + Math.min(route.timeoutMs(), clientTimeoutMs()) - nowMs;
+    }
+
+    /** How long the client waits; infinite where it does not say, or nothing that can be read. */
+    private double clientTimeoutMs() {
+        String timeLeft = headers.getOrDefault(TIME_LEFT_HEADER, "");
+        return TIME_LEFT.matcher(timeLeft).matches() ? Double.parseDouble(timeLeft) : Double.POSITIVE_INFINITY;
     }
 
     /** Whether the route's retry policy allows another attempt. */
--- a/proxy/src/main/java/stonelb/proxy/RequestForwarder.java
+++ b/proxy/src/main/java/stonelb/proxy/RequestForwarder.java
@@ -81,6 +81,7 @@
             return;
         }
         Attempt attempt = new Attempt(request, decision, endpoint, startedAtMs);
+        forwarded.setHeader(ProxiedRequest.TIME_LEFT_HEADER, Long.toString((long) remainingMs));
         send(attempt, address(forwarded, request, endpoint), remainingMs);
     }
 
