--- a/gateway/src/test/java/stonelb/gateway/ClientConnectionFaultsTest.java
+++ b/gateway/src/test/java/stonelb/gateway/ClientConnectionFaultsTest.java
@@ -257,6 +257,28 @@
         }
     }
 
+    /** A client that takes nothing for 30 s is closed, also while requests of it are in flight; others are served. */
+    @Test
+    void connectionWhoseClientTakesNoResponseIsClosed() throws Exception {
+        try (Client stalled = gateway.connectClient()) {
+            stalled.write(InProcessGateway.request("held"));
+            awaitReceived("held");
+            gateway.channels.writeBudget.set(1);
+            StubServer.write(outputs.get("held"), response("held"));
+            GatewayProcess.until("a part is written", () -> gateway.channels.writeBudget.get() == 0);
+            gateway.clock.step(29_000);
+            gateway.run(() -> gateway.frontend().onTimer(gateway.loop().now(), 0));
+            assertTrue(EventLoopTasks.call(gateway.loop(), gateway.frontend()::owesResponses));
+            gateway.clock.step(2000);
+            gateway.run(() -> gateway.frontend().onTimer(gateway.loop().now(), 0));
+            GatewayProcess.until("it is closed", () -> EventLoopTasks.call(gateway.loop(), gateway.frontend()::empty));
+            gateway.channels.writeBudget.set(Long.MAX_VALUE);
+            try (Client other = gateway.connectClient()) {
+                assertEquals("other", ask(other, "other"));
+            }
+        }
+    }
+
     /** The last step before the exit: what was read is answered, what was not stays in the socket. */
     @Test
     void frontendThatHasStoppedReadingAnswersWhatItHasReadAndNothingElse() throws Exception {
--- a/gateway/src/test/java/stonelb/gateway/GatewayLifecycleTest.java
+++ b/gateway/src/test/java/stonelb/gateway/GatewayLifecycleTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,8 @@
 
 /** Start and end of the gateway process: invalid configurations, and shutdown with requests in flight. */
 class GatewayLifecycleTest extends GatewayProcessFixture {
+    private static final int SIGTERM_EXIT_CODE = 143;
+
     @Test
     void gracefulShutdownAnswersInFlightAndServesNewClients() throws Exception {
         client.command("Q.DO", CUSTOMER, "1", attributes("log", "open", 15_000), "slow 1500");
@@ -50,6 +53,21 @@
         assertTrue(gateway.ended(20_000));
     }
 
+    /** A signal may come at any moment of the start. */
+    @Test
+    void terminationDuringTheStartEndsTheProcess() throws Exception {
+        for (int delayMs = 0; delayMs <= 1000; delayMs += 200) {
+            try (GatewayProcess starting =
+                    new GatewayProcess(folder, platform.config("127.0.0.1:0", GatewayProcess.OPEN), null)) {
+                Thread.sleep(delayMs);
+                starting.terminate();
+                assertTrue(starting.ended(10_000), "after " + delayMs + " ms");
+                assertEquals(SIGTERM_EXIT_CODE, starting.exit(), "after " + delayMs + " ms");
+                assertNull(starting.line("internal error"));
+            }
+        }
+    }
+
     @Test
     void invalidConfigurationIsReportedInOneLine() throws Exception {
         String validConfig = platform.config("127.0.0.1:0", GatewayProcess.OPEN);
