--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
@@ -17,6 +17,9 @@
     /** Before the first repetition; doubles with each. */
     private static final double LOCAL_FAILURE_PAUSE_MS = 5;
 
+    /** An attempt waits for so long where the limit on connections allows it none; then another endpoint is tried. */
+    private static final double MAX_CAPACITY_WAIT_MS = 100;
+
     private final EndpointConnections connections;
     private final OutboundRequest.Protocol protocol;
     private final String endpointName;
@@ -79,11 +82,21 @@
         if (connection == null) {
             waitingAttempts.add(attempt);
             connectIfNeeded();
+            if (connections.awaitsCapacity(this)) {
+                connections.scheduleAfter(MAX_CAPACITY_WAIT_MS, (now, token) -> giveBackUnlessConnecting(attempt));
+            }
         } else if (!sendOn(connection, attempt)) {
             idleConnections.addLast(connection);
         }
     }
 
+    /** Gives back an attempt that still waits, if no connection is being opened for it. */
+    private void giveBackUnlessConnecting(Attempt attempt) {
+        if (connectingCount < waitingAttempts.size() && waitingAttempts.remove(attempt)) {
+            connections.attemptEnded(attempt, Outcome.NOT_SENT, null);
+        }
+    }
+
     /** The one place where an attempt is written, if it still may be; returns whether it was. */
     private boolean sendOn(EndpointConnection connection, Attempt attempt) {
         if (!connections.maySend(attempt)) {
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
@@ -238,11 +238,15 @@
         return oldest != null;
     }
 
-    /** Has the pool called once another connection may be opened. Its attempts wait meanwhile, up to their deadlines. */
+    /** Has the pool called once another connection may be opened. */
     void awaitCapacity(EndpointConnectionPool pool) {
         poolsAwaitingCapacity.add(pool);
     }
 
+    boolean awaitsCapacity(EndpointConnectionPool pool) {
+        return poolsAwaitingCapacity.contains(pool);
+    }
+
     /** A connection has been closed or is idle: the pool that has waited longest may open one in its place. */
     void capacityAvailable() {
         while (!poolsAwaitingCapacity.isEmpty()) {
--- a/gateway/src/main/java/stonelb/gateway/frontend/InputScheduler.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/InputScheduler.java
@@ -96,9 +96,10 @@
         decode.run();
     }
 
-    /** Whether more input may be read while so much is not decoded. */
+    /** Whether more input may be read while so much is not decoded. A message that has begun is read to its end. */
     boolean mayReadAhead(int bufferedBytes) {
-        return bufferedBytes < (frontend.isUnderMemoryPressure() ? READ_AHEAD_UNDER_PRESSURE_BYTES : READ_AHEAD_BYTES);
+        boolean limited = frontend.isUnderMemoryPressure() && !tracker.hasPartialMessage();
+        return bufferedBytes < (limited ? READ_AHEAD_UNDER_PRESSURE_BYTES : READ_AHEAD_BYTES);
     }
 
     private boolean isReading() {
--- a/gateway/src/main/java/stonelb/gateway/frontend/InputTracker.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/InputTracker.java
@@ -10,8 +10,8 @@
     /** How long input may go unread before a disconnect counts as unnoticed; clients are owed 100 ms. */
     private static final double MAX_UNREAD_MS = 50;
 
-    /** How much earlier than assumed a request may have arrived; less than the slack of the deadlines passed on. */
-    private static final double MAX_ARRIVAL_ERROR_MS = 100;
+    /** How much earlier than assumed a request may have arrived: the longest wait of an event loop with nothing to do. */
+    private static final double MAX_ARRIVAL_ERROR_MS = 50;
 
     /** For the next byte of a message that has begun; clients expect an error or a close within 3 s. */
     private static final double MESSAGE_PAUSE_LIMIT_MS = 2000;
--- a/gateway/src/test/java/stonelb/gateway/ClientConnectionFaultsTest.java
+++ b/gateway/src/test/java/stonelb/gateway/ClientConnectionFaultsTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -279,6 +280,31 @@
         }
     }
 
+    /** Other clients' unfinished messages leave little memory; a large request that has begun is still read to its end. */
+    @Test
+    void largeRequestIsServedUnderMemoryPressure() throws Exception {
+        List<Client> others = new ArrayList<>();
+        try (Client client = gateway.connectClient()) {
+            String part = "*5\r\n$5\r\nQ.ASK\r\n$65000\r\n" + "x".repeat(64_000);
+            for (int i = 0; i < 45; i++) {
+                Client other = gateway.connectClient();
+                other.write(part);
+                others.add(other);
+            }
+            awaitReadsToEnd();
+            String fields = "c=read,t=open,d=9000,units=1,spread=1,first=0";
+            client.write("*5\r\n$5\r\nQ.ASK\r\n$16\r\n0000000000000001\r\n$5\r\nlarge\r\n$" + fields.length() + "\r\n"
+                    + fields + "\r\n$60000\r\n" + "x".repeat(20_000));
+            awaitReadsToEnd();
+            client.write("x".repeat(40_000) + "\r\n");
+            assertEquals("large", StubServer.resp(client.in));
+        } finally {
+            for (Client other : others) {
+                other.close();
+            }
+        }
+    }
+
     /** The last step before the exit: what was read is answered, what was not stays in the socket. */
     @Test
     void frontendThatHasStoppedReadingAnswersWhatItHasReadAndNothingElse() throws Exception {
--- a/gateway/src/test/java/stonelb/gateway/testing/InProcessGateway.java
+++ b/gateway/src/test/java/stonelb/gateway/testing/InProcessGateway.java
@@ -53,6 +53,9 @@
     /** The attempts that were abandoned. */
     public final BlockingQueue<Attempt> abandonedAttempts = new LinkedBlockingQueue<>();
 
+    /** Called on the event loop after each start of an attempt. */
+    public volatile Runnable onStarted = () -> {};
+
     private final RateLimitedLog log = new RateLimitedLog(logLines::add);
     private final EventLoop loop = new EventLoop(log, clock, channels);
     private final Configuration configuration;
@@ -104,6 +107,7 @@
             public void send(Attempt attempt) {
                 startedAttempts.add(attempt);
                 connections.send(attempt);
+                onStarted.run();
             }
 
             @Override
@@ -154,12 +158,18 @@
 
     /** Holds the event loop up while a step runs, so that the loop finds all that the step did at once. */
     public void holdWhile(Step step) throws Exception {
+        holdWhile(step, () -> {});
+    }
+
+    /** The same; {@code then} runs on the event loop before it reads anything. */
+    public void holdWhile(Step step, Runnable then) throws Exception {
         CompletableFuture<Void> held = new CompletableFuture<>();
         CompletableFuture<Void> released = new CompletableFuture<>();
         CompletableFuture<Void> after = CompletableFuture.runAsync(
                 () -> {
                     held.complete(null);
                     released.join();
+                    then.run();
                 },
                 loop::execute);
         held.get(TIMEOUT_S, TimeUnit.SECONDS);
