--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,7 @@
 BAD_CLIENT_AT_S = 4
 GRACE_MS = 500
 
-# A well-formed RESP2 value of 59.4 MB, four levels deep, that is no command.
+# A well-formed RESP2 value of 59.4 MB, arrays in three levels, that is no command.
 OUTER, MIDDLE, INNER = 4, 58, 64
 TEXT = b"+" + b"x" * 4000 + b"\r\n"
 
