--- a/review/3/case.py
+++ b/review/3/case.py
@@ -71,6 +71,7 @@
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.gateway.port)
             answer = asyncio.create_task(reader.read(200))
+            answer.add_done_callback(lambda task: task.cancelled() or task.exception())
             data = b"*%d\r\n" % OUTER
             for _ in range(OUTER):
                 data += b"*%d\r\n" % MIDDLE
