Count every element of a RESP2 value towards its limit, not only bulk strings

An endpoint that answers with such a value ends it too.

Cause: RespParser counted the lengths of bulk strings alone. Lines, integers, nulls, empty strings and empty arrays counted nothing, and 64 elements at 4 levels allow 16.7 million of them. The limit on buffered input over all connections uses the same count.

Evidence: heap dump at the error: 46.2 of 48 MB are byte arrays, held by 11,283 SimpleStrings of 4,000 characters. Ruled out by it: the input buffer (256 KiB), responses; network buffers are not on the heap.

Change: each element reserves its memory (content, objects, array slot) from the 128 KiB of its value before it is stored. What a connection reports as buffered is the same count; a bulk string counts there when it has been read, not when it is announced.

Before the fix OversizedMessagesTest failed ("Connection reset" and "EOF input ended after ''", the process had ended) and so did the two new tests of RespParserTest ("nothing was thrown", "60000 bytes"); they pass now.

--- a/gateway/src/main/java/stonelb/gateway/resp/RespParser.java
+++ b/gateway/src/main/java/stonelb/gateway/resp/RespParser.java
@@ -17,7 +17,14 @@
     public static final Object NULL = new Object();
 
     private static final int MAX_BULK_BYTES = 64 * 1024;
-    private static final int MAX_VALUE_BYTES = 128 * 1024; // of all bulk strings in a value
+
+    /** Limit on the memory of one value, including the objects and array slots that hold its elements. */
+    private static final int MAX_VALUE_BYTES = 128 * 1024;
+
+    /** Memory of an element besides its content: its objects, and the header of its array of bytes or elements. */
+    private static final int ELEMENT_OVERHEAD_BYTES = 64;
+
+    private static final int ARRAY_SLOT_BYTES = 8;
     private static final int MAX_LINE_BYTES = 4096;
     private static final int MAX_ARRAY_LENGTH = 64;
     private static final int MAX_DEPTH = 4;
@@ -46,7 +53,7 @@
 
     private final List<PartialArray> openArrays = new ArrayList<>(MAX_DEPTH); // innermost last
     private int bulkLength = NO_BULK; // of the bulk string whose bytes are expected
-    private int bufferedBytes; // of the partial value, consumed from the input
+    private int valueBytes; // memory of the partial value, including a bulk string whose bytes are expected
     private int scannedBytes; // of the partial line, without a line feed
 
     /** Whether part of a value has been read. */
@@ -54,9 +61,9 @@
         return !openArrays.isEmpty() || bulkLength >= 0 || scannedBytes > 0;
     }
 
-    /** Bytes of the partial value that were consumed from the input. */
+    /** Memory in bytes of the elements of the partial value that were consumed from the input. */
     public int bufferedBytes() {
-        return bufferedBytes;
+        return bulkLength >= 0 ? valueBytes - bulkLength : valueBytes;
     }
 
     /**
@@ -73,7 +80,7 @@
             }
             while (value != null) {
                 if (openArrays.isEmpty()) {
-                    bufferedBytes = 0;
+                    valueBytes = 0;
                     return value;
                 }
                 value = addToArray(value);
@@ -128,9 +135,20 @@
         String text = in.text(1, lineFeed - 2);
         in.skip(lineFeed + 1);
         scannedBytes = 0;
+        reserve(ELEMENT_OVERHEAD_BYTES);
+        return parseLine(type, text);
+    }
+
+    private Object parseLine(char type, String text) throws MalformedInputException {
         return switch (type) {
-            case '+' -> new SimpleString(text);
-            case '-' -> new SimpleError(text);
+            case '+' -> {
+                reserve(text.length() * Character.BYTES);
+                yield new SimpleString(text);
+            }
+            case '-' -> {
+                reserve(text.length() * Character.BYTES);
+                yield new SimpleError(text);
+            }
             case ':' -> parseNumber(text);
             case '$' -> beginBulk(parseNumber(text));
             case '*' -> beginArray(parseNumber(text));
@@ -143,12 +161,12 @@
         if (length < -1 || length > MAX_BULK_BYTES) {
             throw new MalformedInputException("a bulk string's length is out of bounds");
         }
-        bulkLength = (int) length;
-        bufferedBytes += bulkLength;
-        if (bufferedBytes > MAX_VALUE_BYTES) {
-            throw new MalformedInputException("a value is too large");
+        if (length < 0) {
+            return NULL;
         }
-        return length < 0 ? NULL : null;
+        reserve((int) length);
+        bulkLength = (int) length;
+        return null;
     }
 
     /** Returns an empty array or {@link #NULL}, or null if elements follow. */
@@ -162,10 +180,19 @@
         if (length == 0) {
             return List.of();
         }
+        reserve((int) length * ARRAY_SLOT_BYTES);
         openArrays.add(new PartialArray((int) length));
         return null;
     }
 
+    /** Counts memory towards the limit of the value being read, before the memory is allocated. */
+    private void reserve(int bytes) throws MalformedInputException {
+        valueBytes += bytes;
+        if (valueBytes > MAX_VALUE_BYTES) {
+            throw new MalformedInputException("a value is too large");
+        }
+    }
+
     private static long parseNumber(String text) throws MalformedInputException {
         try {
             return Long.parseLong(text);
--- a/gateway/src/test/java/stonelb/gateway/resp/RespParserTest.java
+++ b/gateway/src/test/java/stonelb/gateway/resp/RespParserTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -90,14 +91,50 @@
                 "$1\r\nabc",
                 ":x\r\n",
                 "*3\r\n" + ("$65000\r\n" + "x".repeat(65000) + "\r\n").repeat(3))) {
-            InputBuffer in = new InputBuffer(1 << 20);
-            assertThrows(
-                    MalformedInputException.class,
-                    () -> {
-                        in.append(invalid.getBytes(StandardCharsets.US_ASCII), 0, invalid.length());
-                        new RespParser().next(in);
-                    },
-                    invalid);
+            assertRejected(invalid, invalid);
         }
     }
+
+    private static void assertRejected(String invalid, String description) {
+        InputBuffer in = new InputBuffer(1 << 20);
+        assertThrows(
+                MalformedInputException.class,
+                () -> {
+                    in.append(invalid.getBytes(StandardCharsets.US_ASCII), 0, invalid.length());
+                    new RespParser().next(in);
+                },
+                description);
+    }
+
+    /** Guards against a value of small elements that fills the heap: each element counts, not only bulk strings. */
+    @Test
+    void valueOverTheMemoryLimitIsRejectedWhateverItsElements() {
+        int limit = 128 * 1024;
+        for (String element : List.of(
+                "+" + "x".repeat(4000) + "\r\n", "-E\r\n", ":1\r\n", "$-1\r\n", "$0\r\n\r\n", "*0\r\n", "*-1\r\n")) {
+            String array = "*64\r\n" + element.repeat(64);
+            String nested = "*64\r\n" + ("*64\r\n" + array.repeat(64)).repeat(64);
+            assertRejected(nested.substring(0, limit), "arrays of " + element);
+        }
+    }
+
+    /** What a partial value holds is charged to its connection when it is read, not when its length is announced. */
+    @Test
+    void bufferedBytesCountTheElementsThatWereRead() throws MalformedInputException {
+        RespParser parser = new RespParser();
+        InputBuffer in = new InputBuffer(1 << 20);
+        String announced = "*3\r\n+" + "x".repeat(1000) + "\r\n$60000\r\n";
+        in.append(announced.getBytes(StandardCharsets.US_ASCII), 0, announced.length());
+        assertEquals(RespParser.INCOMPLETE, parser.next(in));
+        int bufferedBeforeBulk = parser.bufferedBytes();
+        assertTrue(bufferedBeforeBulk >= 1000 && bufferedBeforeBulk < 10_000, bufferedBeforeBulk + " bytes");
+        String bulk = "x".repeat(60_000) + "\r\n";
+        in.append(bulk.getBytes(StandardCharsets.US_ASCII), 0, bulk.length());
+        assertEquals(RespParser.INCOMPLETE, parser.next(in));
+        assertEquals(bufferedBeforeBulk + 60_000, parser.bufferedBytes());
+        String last = ":1\r\n";
+        in.append(last.getBytes(StandardCharsets.US_ASCII), 0, last.length());
+        assertNotEquals(RespParser.INCOMPLETE, parser.next(in));
+        assertEquals(0, parser.bufferedBytes());
+    }
 }
--- a/standins/src/main/java/stonelb/standins/StubPlatform.java
+++ b/standins/src/main/java/stonelb/standins/StubPlatform.java
@@ -13,7 +13,7 @@
  * Discovery, the quota counter and one plan server that speaks both RESP2 and HTTP, for one gateway under test. The body
  * of a request selects the behavior of the plan server: "fail" returns an error, "away" returns a response that says that
  * the request was not executed, "reset" closes the connection without a response, "slow MS" responds after a delay,
- * "twice" responds twice over RESP2, and any other body is echoed.
+ * "twice" responds twice over RESP2, "oversized" responds with a message of 60 MB, and any other body is echoed.
  */
 public final class StubPlatform implements AutoCloseable {
     private static final String CLASSES = StubConfiguration.requestClass("read", 20_000, 10_000, "idempotent", 3) + ","
@@ -21,6 +21,8 @@
 
     private static final long NANOS_PER_MS = 1_000_000;
     private static final int DUPLICATE_RESPONSE_DELAY_MS = 3;
+    private static final String OVERSIZED = "oversized";
+    private static final String OVERSIZED_ELEMENT = "+" + "x".repeat(4000) + "\r\n";
 
     /** The requests executed by the plan server, each "COMMAND BODY". */
     public final List<String> executedRequests = new CopyOnWriteArrayList<>();
@@ -116,6 +118,10 @@
             if (outcome == Outcome.CLOSE) {
                 return;
             }
+            if (body.equals(OVERSIZED)) {
+                OversizedMessages.writeNestedValue(out, OVERSIZED_ELEMENT);
+                continue;
+            }
             String response = respResponse(outcome, "echo " + body);
             StubServer.write(out, response);
             idleSince = System.nanoTime();
