Bound the head of an HTTP message and count it towards the memory limits

An endpoint that answers with such a head held its request until its deadline.

Cause: the same as in RespParser, what is kept of an unfinished message was not counted. HttpParser bounded each line and the number of different names, so a repeated name passed both, and each repetition copied the joined value. Headers counted neither as buffered input nor towards the bytes of requests in flight.

Change: 32 KiB and 100 headers a head, repeated ones included; 431 and a close for a client, a failed attempt for an endpoint. The head's memory counts as buffered and, in a request, towards the limit on requests in flight. Nothing of a complete message stays in the parser.

Before the fix two tests of OversizedMessagesTest failed ("no response within 6000 ms", "expected: <502> but was: <504>"); they pass now.

--- a/core/src/main/java/stonelb/http/HttpMessage.java
+++ b/core/src/main/java/stonelb/http/HttpMessage.java
@@ -12,6 +12,7 @@
  *     empty
  * @param headers by lower-case name; the values of repeated headers are joined by a comma and a space, those of
  *     Set-Cookie by a line feed
+ * @param headMemoryBytes memory of the start line and the headers
  * @param body without transfer coding
  */
 // Messages are not compared, and a copy of each body would cost time on every request.
@@ -21,6 +22,7 @@
         String targetOrStatusCode,
         String versionOrReason,
         Map<String, String> headers,
+        int headMemoryBytes,
         byte[] body) {
 
     /** The status code of a response. */
--- a/core/src/main/java/stonelb/http/HttpParser.java
+++ b/core/src/main/java/stonelb/http/HttpParser.java
@@ -18,7 +18,16 @@
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
     private static final Pattern LENGTH_DIGITS = Pattern.compile("[0-9a-fA-F]{1,10}");
     private static final int MAX_LINE_BYTES = 8192;
+
+    /** Limit on the start line and the headers of a message, as received. */
+    private static final int MAX_HEAD_BYTES = 32 * 1024;
+
+    /** Limit on the header lines of a message, and on its trailers. */
     private static final int MAX_HEADERS = 100;
+
+    /** Memory of a header besides its characters: two strings, and an entry in the map of headers. */
+    private static final int HEADER_OVERHEAD_BYTES = 160;
+
     private static final int INITIAL_BODY_BYTES = 32;
 
     /** What the next bytes of the input are. */
@@ -44,6 +53,9 @@
 
     private String[] startLine;
     private Map<String, String> headers;
+    private int headerCount;
+    private int headBytes;
+    private boolean headTooLarge;
     private int trailerCount;
     private ByteArrayOutputStream body;
 
@@ -69,9 +81,18 @@
         return state != State.START_LINE || scannedBytes > 0;
     }
 
-    /** The number of bytes of an incomplete body that were moved out of the input buffer. */
+    /** Memory in bytes of the part of an incomplete message that was consumed from the input. */
     public int bufferedBytes() {
-        return body == null ? 0 : body.size();
+        return headMemoryBytes() + (body == null ? 0 : body.size());
+    }
+
+    private int headMemoryBytes() {
+        return headBytes * Character.BYTES + headerCount * HEADER_OVERHEAD_BYTES;
+    }
+
+    /** Whether the input was rejected because its headers exceed a limit. */
+    public boolean isHeadTooLarge() {
+        return headTooLarge;
     }
 
     /** Whether the head of a message is complete but its body is not. */
@@ -176,6 +197,7 @@
             throw new MalformedInputException("a start line is not one of HTTP/1.1");
         }
         headers = new LinkedHashMap<>();
+        headBytes = line.length();
         state = State.HEADERS;
     }
 
@@ -192,21 +214,27 @@
     }
 
     private void parseHeader(String line) throws MalformedInputException {
+        headerCount++;
+        headBytes += line.length();
+        if (headerCount > MAX_HEADERS || headBytes > MAX_HEAD_BYTES) {
+            throw headTooLarge();
+        }
         int colon = line.indexOf(':');
         // Another server may treat a bare carriage return as a line end and so see two headers.
         boolean bareCarriageReturn = line.indexOf('\r') >= 0;
-        if (bareCarriageReturn
-                || colon <= 0
-                || headers.size() >= MAX_HEADERS
-                || line.charAt(colon - 1) == ' '
-                || line.charAt(0) == ' ') {
-            throw new MalformedInputException("a header is malformed, or there are too many");
+        if (bareCarriageReturn || colon <= 0 || line.charAt(colon - 1) == ' ' || line.charAt(0) == ' ') {
+            throw new MalformedInputException("a header is malformed");
         }
         addHeader(
                 line.substring(0, colon).toLowerCase(Locale.ROOT),
                 line.substring(colon + 1).strip());
     }
 
+    private MalformedInputException headTooLarge() {
+        headTooLarge = true;
+        return new MalformedInputException("the headers of a message are too large, or there are too many");
+    }
+
     private void addHeader(String name, String value) throws MalformedInputException {
         String previous = headers.put(name, value);
         if (previous == null) {
@@ -228,7 +256,7 @@
         body = new ByteArrayOutputStream(INITIAL_BODY_BYTES);
         int status = readsResponses ? Integer.parseInt(startLine[1]) : 0;
         if (status / 100 == 1) {
-            state = State.START_LINE; // an interim response: the final one follows
+            releaseMessage(); // an interim response: the final one follows
             return null;
         }
         if (withoutBody || status == 204 || status == 304) {
@@ -286,18 +314,27 @@
 
     private HttpMessage completeMessage() {
         String versionOrReason = startLine.length > 2 ? startLine[2] : "";
-        HttpMessage message = new HttpMessage(startLine[0], startLine[1], versionOrReason, headers, body.toByteArray());
+        HttpMessage message = new HttpMessage(
+                startLine[0], startLine[1], versionOrReason, headers, headMemoryBytes(), body.toByteArray());
+        releaseMessage();
+        return message;
+    }
+
+    private void releaseMessage() {
         state = State.START_LINE;
+        startLine = null;
+        headers = null;
+        headerCount = 0;
+        headBytes = 0;
         body = null;
         trailerCount = 0;
-        return message;
     }
 
     /** Consumes a line and returns it without its line end; null if it is incomplete. */
     private String readLine(InputBuffer in) throws MalformedInputException {
         int end = in.lineEnd(scannedBytes);
         if ((end < 0 ? in.size() : end) > MAX_LINE_BYTES) {
-            throw new MalformedInputException("a line is too long");
+            throw state == State.HEADERS ? headTooLarge() : new MalformedInputException("a line is too long");
         }
         if (end < 0) {
             scannedBytes = in.size();
--- a/core/src/main/java/stonelb/http/HttpWriter.java
+++ b/core/src/main/java/stonelb/http/HttpWriter.java
@@ -26,6 +26,7 @@
             404, "Not Found",
             405, "Method Not Allowed",
             429, "Too Many Requests",
+            431, "Request Header Fields Too Large",
             502, "Bad Gateway",
             504, "Gateway Timeout");
 
--- a/core/src/test/java/stonelb/http/HttpParserTest.java
+++ b/core/src/test/java/stonelb/http/HttpParserTest.java
@@ -202,6 +202,47 @@
         }
     }
 
+    /** Guards against heads that fill the heap: repeated headers count like others, in bytes and in number. */
+    @Test
+    void headOverItsLimitsIsRejected() throws MalformedInputException {
+        String longHeader = "X-A: " + "x".repeat(4000) + "\r\n";
+        String start = "GET / HTTP/1.1\r\n";
+        assertEquals(1, parse(false, start + longHeader.repeat(8) + "\r\n").size(), "32 KB");
+        assertEquals(
+                1, parse(false, start + "Cookie: a\r\n".repeat(100) + "\r\n").size(), "100 headers");
+        for (String headers : List.of(
+                longHeader.repeat(9),
+                "Cookie: a\r\n".repeat(101),
+                "Content-Length: 0\r\n".repeat(101),
+                "X-A: " + "x".repeat(9000) + "\r\n")) {
+            HttpParser parser = new HttpParser(false, MAX_BODY_BYTES);
+            byte[] input = (start + headers).getBytes(StandardCharsets.ISO_8859_1);
+            assertThrows(
+                    MalformedInputException.class,
+                    () -> RandomFragments.feed(input, 5, collectInto(parser, new ArrayList<>())),
+                    headers);
+            assertTrue(parser.isHeadTooLarge(), headers);
+        }
+    }
+
+    /** Guards against a limit on buffered input that doesn't see the headers of unfinished messages. */
+    @Test
+    void bufferedBytesCountTheHeadUntilTheMessageIsComplete() throws MalformedInputException {
+        HttpParser parser = new HttpParser(false, MAX_BODY_BYTES);
+        List<HttpMessage> parsed = new ArrayList<>();
+        String head = "POST / HTTP/1.1\r\nX-A: " + "x".repeat(5000) + "\r\nContent-Length: 10\r\n";
+        InputBuffer in = new InputBuffer(1 << 20);
+        in.append(head.getBytes(StandardCharsets.US_ASCII), 0, head.length());
+        collectInto(parser, parsed).parse(in);
+        assertTrue(parser.bufferedBytes() >= head.length(), parser.bufferedBytes() + " bytes");
+        String rest = "\r\n0123456789";
+        in.append(rest.getBytes(StandardCharsets.US_ASCII), 0, rest.length());
+        collectInto(parser, parsed).parse(in);
+        assertEquals(1, parsed.size());
+        assertTrue(parsed.get(0).headMemoryBytes() >= head.length());
+        assertEquals(0, parser.bufferedBytes());
+    }
+
     @Property(seed = "44", tries = 500)
     void garbageIsParsedOrRejectedWithMessage(
             @ForAll byte[] garbage, @ForAll long fragmentSeed, @ForAll boolean responses) {
--- a/gateway/src/main/java/stonelb/gateway/openapi/OpenApiConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/openapi/OpenApiConnection.java
@@ -21,6 +21,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int HEADERS_TOO_LARGE = 431;
 
     /** The interim response to {@code Expect: 100-continue}. */
     private record ContinueResponse() implements CompletedResponse {
@@ -123,6 +124,7 @@
 
     @Override
     protected PendingResponse errorResponse(String reason) {
-        return new ProblemResponse(this, false, BAD_REQUEST, reason, Map.of());
+        int status = parser.isHeadTooLarge() ? HEADERS_TOO_LARGE : BAD_REQUEST;
+        return new ProblemResponse(this, false, status, reason, Map.of());
     }
 }
--- a/gateway/src/main/java/stonelb/gateway/openapi/OpenApiRequest.java
+++ b/gateway/src/main/java/stonelb/gateway/openapi/OpenApiRequest.java
@@ -32,7 +32,7 @@
 
     @Override
     protected int sizeBytes() {
-        return message.body().length + target.length();
+        return message.headMemoryBytes() + message.body().length;
     }
 
     @Override
--- a/gateway/src/test/java/stonelb/gateway/OversizedMessagesTest.java
+++ b/gateway/src/test/java/stonelb/gateway/OversizedMessagesTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.SocketException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,10 +49,12 @@
     @BeforeEach
     void start() throws Exception {
         platform = new StubPlatform();
+        Path description = folder.resolve("plans.yaml");
+        Files.writeString(description, OpenApiFrontendTest.DESCRIPTION);
         gateway = new GatewayProcess(
                 folder,
                 platform.config("127.0.0.1:0", GatewayProcess.UNLIMITED_PLAN),
-                null,
+                OpenApiFrontendTest.settings(description, platform.http.port()),
                 "@deploy/jvm.options",
                 "-cp",
                 System.getProperty("java.class.path"),
@@ -101,6 +104,32 @@
         assertTrue(gateway.firstLogLine("a value is too large") != null, "the connection is closed at the limit");
     }
 
+    /** Clients repeat headers without end; the joined values must neither fill the heap nor occupy the event loop. */
+    @Test
+    void headsFromClientsAreRejectedAndOthersServed() throws Exception {
+        List<MessageWriter> heads = new ArrayList<>();
+        for (String header : List.of("X-A: " + "x".repeat(200), "A:", "X-A: " + "x".repeat(8000), "Cookie: a=b")) {
+            heads.add(out -> OversizedMessages.writeHead(out, "GET /v1/plans/7 HTTP/1.1", header));
+            heads.add(out -> OversizedMessages.writeHead(out, "POST /v1/logs HTTP/1.1", header));
+        }
+        int port = gateway.port("HTTP requests");
+        assertRejectedWhileOthersAreServed(port, heads.subList(0, 1), "HTTP/1.1 431 ");
+        assertRejectedWhileOthersAreServed(port, heads, "HTTP/1.1 431 ");
+    }
+
+    /** The head of an endpoint's response must be bounded like that of a request. */
+    @Test
+    void headFromEndpointFailsTheAttemptAndOthersAreServed() throws Exception {
+        try (Client client = new Client(gateway.port("HTTP requests"))) {
+            assertEquals(
+                    502,
+                    client.httpCall(OpenApiFrontendTest.request("POST /v1/logs", "open", 9000, "oversized"))
+                            .status());
+        }
+        assertUsualRequestIsServed();
+        assertTrue(gateway.firstLogLine("the headers of a message are too large") != null);
+    }
+
     /** Sends all messages at once; usual requests are served until each sender has an error or a close. */
     private void assertRejectedWhileOthersAreServed(int port, List<MessageWriter> messages, String error)
             throws Exception {
--- a/standins/src/main/java/stonelb/standins/OversizedMessages.java
+++ b/standins/src/main/java/stonelb/standins/OversizedMessages.java
@@ -12,6 +12,8 @@
     /** The elements of each RESP2 array in a nested value, as many as the gateway accepts. */
     private static final int ARRAY_LENGTH = 64;
 
+    private static final int HEADERS_PER_WRITE = 64;
+
     private OversizedMessages() {}
 
     /**
@@ -39,6 +41,21 @@
         out.flush();
     }
 
+    /**
+     * Writes the head of an HTTP message that repeats one header.
+     *
+     * @throws IOException if the peer closes the connection before it has read the head
+     */
+    public static void writeHead(OutputStream out, String startLine, String header) throws IOException {
+        byte[] headers = bytes((header + "\r\n").repeat(HEADERS_PER_WRITE));
+        out.write(bytes(startLine + "\r\n"));
+        for (int written = 0; written < BYTES; written += headers.length) {
+            out.write(headers);
+        }
+        out.write(bytes("\r\n"));
+        out.flush();
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
     }
--- a/standins/src/main/java/stonelb/standins/StubPlatform.java
+++ b/standins/src/main/java/stonelb/standins/StubPlatform.java
@@ -150,6 +150,10 @@
             if (outcome == Outcome.CLOSE) {
                 return;
             }
+            if (body.equals(OVERSIZED)) {
+                OversizedMessages.writeHead(out, "HTTP/1.1 200 X", "Set-Cookie: " + "x".repeat(200));
+                continue;
+            }
             String responseBody = httpBody(outcome, "echo " + body);
             String response = httpResponse(outcome, responseBody);
             boolean head = request.startLine().startsWith("HEAD");
