Parse endpoint lists as a stream in place of a tree of the whole response

Seen, in a test alone: a discovery that answers with 1,048,000 bytes of JSON, numbers in place of entries, keeps a gateway with the deploy file's heap from listening (30 s). With 1,000,000 bytes it starts.

EndpointList built a tree of the response before it looked at it; a number of two bytes takes some 84 bytes there, so 1 MiB of response takes over 40 MB of 48.

Change: EndpointListParser, split from EndpointList, reads entries one by one and skips unknown members. The forms that it takes and the reasons that it gives are as before.

Result: OversizedMessagesTest.endpointListOfSmallElementsIsRejectedAndRequestsServed failed before ("timed out waiting until: the gateway listens for RESP2 requests"); it passes now, also with a million nested arrays. EndpointListTest, EndpointListParserTest and the discovery tests of the gateway pass.

--- a/core/src/main/java/stonelb/discovery/EndpointList.java
+++ b/core/src/main/java/stonelb/discovery/EndpointList.java
@@ -1,9 +1,9 @@
 package stonelb.discovery;
 
-import com.google.gson.Gson;
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
+import java.io.ByteArrayInputStream;
+import java.io.InputStreamReader;
+import java.io.StringReader;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,41 +12,19 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import stonelb.config.Configuration;
-import stonelb.config.InvalidConfigurationException;
-import stonelb.config.JsonValues;
 import stonelb.decision.Endpoint;
 import stonelb.decision.EndpointListType;
 import stonelb.decision.EndpointState;
+import stonelb.discovery.EndpointListParser.ListEntry;
+import stonelb.discovery.EndpointListParser.ParsedList;
 import stonelb.io.MalformedInputException;
 
 /**
- * The endpoint list of the discovery service. It converts JSON entries to {@link Endpoint}s, names to ids and start
+ * The endpoint list of the discovery service. It converts its entries to {@link Endpoint}s, names to ids and start
  * times from Unix time to the event loop's clock, and informs its listeners of each update. A list with a malformed
  * entry is not applied at all.
  */
 public final class EndpointList {
-    private static final long NO_VERSION = -1;
-
-    /**
-     * An entry of a received list.
-     *
-     * @param address null if the endpoint is removed and its address left out
-     * @param sinceMs when the endpoint started, in Unix milliseconds; 0 for long ago
-     * @param zone null for none
-     */
-    private record ListEntry(
-            String name,
-            EndpointState state,
-            InetSocketAddress address,
-            double sinceMs,
-            double weight,
-            int group,
-            String zone) {}
-
-    /** A received list. */
-    private record ParsedList(long version, List<ListEntry> entries) {}
-
     /** Zone names by index: those of the settings first, then others in the order in which lists name them. */
     private final List<String> zones;
 
@@ -58,7 +36,7 @@
     private final Map<String, Long> idsByName = new HashMap<>();
 
     private long lastId;
-    private long version = NO_VERSION;
+    private long version = EndpointListParser.NO_VERSION;
 
     /**
      * Creates an empty list.
@@ -83,7 +61,7 @@
      * @throws MalformedInputException if the list is malformed
      */
     public void loadCached(JsonObject list) throws MalformedInputException {
-        ParsedList parsed = parse(list);
+        ParsedList parsed = EndpointListParser.parse(new StringReader(list.toString()));
         startTimes.beginCachedList();
         apply(parsed, EndpointListType.CACHED);
     }
@@ -106,63 +84,13 @@
      * @throws MalformedInputException if the response is malformed; nothing is changed then
      */
     long apply(byte[] body, InetSocketAddress source) throws MalformedInputException {
-        JsonObject list = parseJson(body);
-        ParsedList parsed = parse(list);
+        ParsedList parsed =
+                EndpointListParser.parse(new InputStreamReader(new ByteArrayInputStream(body), StandardCharsets.UTF_8));
         startTimes.beginResponse(source);
-        apply(parsed, isSnapshot(list) ? EndpointListType.SNAPSHOT : EndpointListType.DELTA);
+        apply(parsed, parsed.snapshot() ? EndpointListType.SNAPSHOT : EndpointListType.DELTA);
         return version;
     }
 
-    private static boolean isSnapshot(JsonObject list) {
-        JsonElement snapshot = list.get("snapshot");
-        return snapshot != null && snapshot.isJsonPrimitive() && snapshot.getAsBoolean();
-    }
-
-    private static JsonObject parseJson(byte[] body) throws MalformedInputException {
-        try {
-            JsonObject list = new Gson().fromJson(new String(body, StandardCharsets.UTF_8), JsonObject.class);
-            if (list == null) {
-                throw new MalformedInputException("the list is empty");
-            }
-            return list;
-        } catch (JsonParseException e) {
-            throw new MalformedInputException("the list is not JSON");
-        }
-    }
-
-    private static ParsedList parse(JsonObject list) throws MalformedInputException {
-        try {
-            List<ListEntry> entries = new ArrayList<>();
-            for (JsonElement entry : JsonValues.array(list, "endpoints")) {
-                entries.add(parseEntry(entry.getAsJsonObject()));
-            }
-            return new ParsedList((long) JsonValues.number(list, "index", NO_VERSION), entries);
-        } catch (IllegalStateException | UnsupportedOperationException | ClassCastException | NumberFormatException e) {
-            throw new MalformedInputException("the list has an unexpected JSON structure");
-        }
-    }
-
-    private static ListEntry parseEntry(JsonObject entry) throws MalformedInputException {
-        EndpointState state = state(requiredText(entry, "status"));
-        boolean hasAddress = state != EndpointState.REMOVED || entry.has("address");
-        return new ListEntry(
-                requiredText(entry, "name"),
-                state,
-                hasAddress ? address(entry) : null,
-                JsonValues.number(entry, "since_ms", 0),
-                JsonValues.number(entry, "weight", 1),
-                (int) JsonValues.number(entry, "group", 0),
-                JsonValues.text(entry, "zone"));
-    }
-
-    private static EndpointState state(String status) {
-        return switch (status) {
-            case "in_service" -> EndpointState.READY;
-            case "terminating" -> EndpointState.DRAINING;
-            default -> EndpointState.REMOVED;
-        };
-    }
-
     /** Applies a list and informs the listeners, of each address before the endpoints. */
     private void apply(ParsedList list, EndpointListType type) {
         version = list.version();
@@ -219,20 +147,4 @@
     public String zoneName(int index) {
         return index < zones.size() ? zones.get(index) : "";
     }
-
-    private static InetSocketAddress address(JsonObject entry) throws MalformedInputException {
-        try {
-            return Configuration.address("address", requiredText(entry, "address"));
-        } catch (InvalidConfigurationException e) {
-            throw new MalformedInputException("an entry has no address of the form host:port");
-        }
-    }
-
-    private static String requiredText(JsonObject entry, String key) throws MalformedInputException {
-        String text = JsonValues.text(entry, key);
-        if (text == null) {
-            throw new MalformedInputException("an entry has no '" + key + "'");
-        }
-        return text;
-    }
 }
--- a/gateway/src/test/java/stonelb/gateway/OversizedMessagesTest.java
+++ b/gateway/src/test/java/stonelb/gateway/OversizedMessagesTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -49,17 +50,20 @@
     @BeforeEach
     void start() throws Exception {
         platform = new StubPlatform();
-        Path description = folder.resolve("plans.yaml");
-        Files.writeString(description, OpenApiFrontendTest.DESCRIPTION);
-        gateway = new GatewayProcess(
+        Files.writeString(folder.resolve("plans.yaml"), OpenApiFrontendTest.DESCRIPTION);
+        gateway = startGateway(platform.config("127.0.0.1:0", GatewayProcess.UNLIMITED_PLAN));
+        usualClient = new Client(gateway.port("RESP2 requests"));
+    }
+
+    private GatewayProcess startGateway(String config) throws IOException {
+        return new GatewayProcess(
                 folder,
-                platform.config("127.0.0.1:0", GatewayProcess.UNLIMITED_PLAN),
-                OpenApiFrontendTest.settings(description, platform.http.port()),
+                config,
+                OpenApiFrontendTest.settings(folder.resolve("plans.yaml"), platform.http.port()),
                 "@deploy/jvm.options",
                 "-cp",
                 System.getProperty("java.class.path"),
                 "stonelb.gateway.Main");
-        usualClient = new Client(gateway.port("RESP2 requests"));
     }
 
     @AfterEach
@@ -130,6 +134,34 @@
         assertTrue(gateway.firstLogLine("the headers of a message are too large") != null);
     }
 
+    /** Discovery answers with JSON that is within the limit of a response but takes many times its size as a tree. */
+    @Test
+    void endpointListOfSmallElementsIsRejectedAndRequestsServed() throws Exception {
+        String elements = "1,".repeat(524_000) + "1";
+        String list = platform.endpointList();
+        String malformed = list.replaceFirst("\\[.*\\]", "[" + elements + "]");
+        String withUnknownMember = list.replace("}]", ",\"other\":[" + elements + "]}]");
+        String nestedDeeply = list.replace("}]", ",\"other\":" + "[".repeat(1_040_000));
+        for (String response : List.of(malformed, withUnknownMember, nestedDeeply)) {
+            AtomicInteger lists = new AtomicInteger();
+            try (StubServer discovery = new StubServer((in, out) -> {
+                        while (true) {
+                            StubServer.readHttp(in);
+                            StubServer.write(out, StubServer.httpResponse(200, "", response));
+                            lists.incrementAndGet();
+                        }
+                    });
+                    GatewayProcess other = startGateway(platform.config("127.0.0.1:0", GatewayProcess.UNLIMITED_PLAN)
+                            .replace(platform.discovery.address(), discovery.address()))) {
+                usualClient.close();
+                usualClient = new Client(other.port("RESP2 requests"));
+                GatewayProcess.awaitCondition("three lists were sent", () -> lists.get() >= 3);
+                assertUsualRequestIsServed();
+                assertTrue(other.isAlive(), () -> other.log().toString());
+            }
+        }
+    }
+
     /** Sends all messages at once; usual requests are served until each sender has an error or a close. */
     private void assertRejectedWhileOthersAreServed(int port, List<MessageWriter> messages, String error)
             throws Exception {
