Graceful shutdown test: wait for the select that closes a closed channel's socket

Cause: the test's. Java closes the descriptor of a channel that is registered with a selector at the next select. The test saw that the connection was gone in the same turn of the loop and wrote before that select, so nothing had been reset yet. Shown on a copy of the test that holds the loop between the two: it fails each time with this message, and passes with one iteration awaited.

Change: the test waits for one iteration of the loop before the write. The assertion is as before. No change of the program.

--- a/gateway/src/test/java/stonelb/gateway/GracefulShutdownTest.java
+++ b/gateway/src/test/java/stonelb/gateway/GracefulShutdownTest.java
@@ -201,6 +201,7 @@
             ended.get(20, TimeUnit.SECONDS);
             GatewayProcess.awaitCondition(
                     "the connection is closed", () -> EventLoopTasks.call(loop, frontend::hasNoConnections));
+            EventLoopTasks.awaitIteration(loop); // the next select closes the socket of a closed channel
             assertThrows(IOException.class, () -> client.write("x"), "the unread request has reset the connection");
         }
     }
