--- a/gateway/src/test/java/stonelb/gateway/OversizedMessagesTest.java
+++ b/gateway/src/test/java/stonelb/gateway/OversizedMessagesTest.java
@@ -100,7 +100,7 @@
                 "-ERR failed",
                 usualClient.call(
                         "Q.DO",
-                        "0000000000000001",
+                        GatewayProcessFixture.CUSTOMER,
                         "1",
                         GatewayProcessFixture.attributes("log", "open", 9000),
                         "oversized"));
@@ -187,7 +187,7 @@
                 "echo x",
                 usualClient.call(
                         "Q.ASK",
-                        "0000000000000001",
+                        GatewayProcessFixture.CUSTOMER,
                         "u" + requests++,
                         GatewayProcessFixture.attributes("read", "open", 9000),
                         "x"));
--- a/standins/src/main/java/stonelb/standins/OversizedMessages.java
+++ b/standins/src/main/java/stonelb/standins/OversizedMessages.java
@@ -7,7 +7,7 @@
 /** Messages far larger than any limit, as faulty peers send them. They are written without being held in memory. */
 public final class OversizedMessages {
     /** The size of each message in bytes, or the next larger size that completes it. */
-    public static final int BYTES = 60_000_000;
+    private static final int BYTES = 60_000_000;
 
     /** The elements of each RESP2 array in a nested value, as many as the gateway accepts. */
     private static final int ARRAY_LENGTH = 64;
