Review case 8: the operations of the large description stand under paths

Cause: an indentation too many put the added paths under the one before them, where they are not operations.

--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -76,7 +76,7 @@
                                         type: string
                                       name:
                                         type: string
-                    """.indent(2).replace("%d", Integer.toString(i)).stripTrailing())
+                    """.replace("%d", Integer.toString(i)).stripTrailing())
                     .append('\n');
         }
         return text.toString();
