Timers can be cancelled: finished attempts held body and response until the deadline

Cause: each Attempt is the callback of its own timeout, and TimerQueue could not cancel timers. Fix: TimerQueue returns a handle. CompletionQueue.finish cancels an attempt's timeout, OpenRequests.markDone a request's expiry; the attempt drops its response once delivered. Found on the way: withdrawing a request that was rejected before it was submitted lowered the count of open requests (expected 1 but was 0); mended here since it now meets the expiry timer, with its own test.

--- a/core/src/main/java/stonelb/core/Attempt.java
+++ b/core/src/main/java/stonelb/core/Attempt.java
@@ -19,6 +19,9 @@
     /** Null unless the attempt succeeded. */
     Response response;
 
+    /** Ends the attempt at its deadline; cancelled when it ends before. */
+    TimerQueue.Timer timeout;
+
     private Object connection;
 
     Attempt(
--- a/core/src/main/java/stonelb/core/ClientRequest.java
+++ b/core/src/main/java/stonelb/core/ClientRequest.java
@@ -17,6 +17,9 @@
 
     boolean done;
 
+    /** Completes the request if the decision engine does not; cancelled when it is done. */
+    TimerQueue.Timer expiry;
+
     /** Creates a request that is not submitted yet. */
     protected ClientRequest(RequestAttributes attributes) {
         this.attributes = attributes;
--- a/core/src/main/java/stonelb/core/CompletionQueue.java
+++ b/core/src/main/java/stonelb/core/CompletionQueue.java
@@ -44,6 +44,9 @@
         attempt.finished = true;
         attempt.outcome = outcome;
         attempt.response = response;
+        if (attempt.timeout != null) {
+            timers.cancel(attempt.timeout);
+        }
         finishedAttempts.add(attempt);
     }
 
@@ -77,8 +80,10 @@
             request.attemptInFlight = null;
         }
         if (attempt.outcome == Outcome.OK) {
-            finalResponses.send(request, () -> request.served(attempt.response));
+            Response response = attempt.response;
+            finalResponses.send(request, () -> request.served(response));
         }
+        attempt.response = null; // whoever still holds the attempt does not need it
         double now = timers.now();
         invoker.runReportingFaults(() -> engine.attemptEnded(now, toAttemptResult(attempt, now)));
         requests.removeIfComplete(request);
--- a/core/src/main/java/stonelb/core/OpenRequests.java
+++ b/core/src/main/java/stonelb/core/OpenRequests.java
@@ -7,10 +7,16 @@
 
 /** The requests by id that have no final response yet or have an attempt in flight. */
 final class OpenRequests {
+    private final TimerQueue timers;
     private final Map<Long, ClientRequest> requestsById = new HashMap<>();
     private long lastId;
     private int openCount;
 
+    /** Creates an empty collection; {@code timers} holds the expiry timers of the requests. */
+    OpenRequests(TimerQueue timers) {
+        this.timers = timers;
+    }
+
     /** Assigns the next id to a new request and counts it as open. */
     void add(ClientRequest request) {
         request.id = ++lastId;
@@ -37,6 +43,7 @@
     void markDone(ClientRequest request) {
         request.done = true;
         openCount--;
+        timers.cancel(request.expiry);
     }
 
     /** Removes a request that is done and has no attempt in flight. */
--- a/core/src/main/java/stonelb/core/RequestTable.java
+++ b/core/src/main/java/stonelb/core/RequestTable.java
@@ -33,7 +33,7 @@
     private final EndpointConnector endpointConnector;
     private final QuotaCounter quotaCounter;
     private final TimerCallback expiryCallback = (now, requestId) -> onExpired(requestId);
-    private final OpenRequests requests = new OpenRequests();
+    private final OpenRequests requests;
     private final EndpointStates endpointStates = new EndpointStates();
     private final EngineInvoker invoker;
     private final DecisionEngine engine;
@@ -55,6 +55,7 @@
             FaultListener faultListener) {
         this.settings = settings;
         this.timers = timers;
+        requests = new OpenRequests(timers);
         this.endpointConnector = endpointConnector;
         this.quotaCounter = quotaCounter;
         invoker = new EngineInvoker(faultListener, this::deliverPending);
@@ -80,7 +81,7 @@
     /** Admits a new request; its final response may be sent before this call returns. */
     public void submit(ClientRequest request) {
         requests.add(request);
-        timers.scheduleAt(responseDeadline(request) + EXPIRY_GRACE_MS, expiryCallback, request.id);
+        request.expiry = timers.scheduleAt(responseDeadline(request) + EXPIRY_GRACE_MS, expiryCallback, request.id);
         invoker.call(() -> engine.requestReceived(now(), toAdmissionRequest(request)));
     }
 
@@ -102,9 +103,12 @@
         return request.attributes().deadlineMs() - RESPONSE_MARGIN_MS;
     }
 
-    /** Withdraws a request whose client has disconnected: it gets no response, and its attempt is abandoned. */
+    /**
+     * Withdraws a request whose client has disconnected: it gets no response, and its attempt is abandoned. No effect on
+     * a request that was not submitted.
+     */
     public void withdraw(ClientRequest request) {
-        if (!request.done) {
+        if (!request.done && requests.get(request.id) == request) {
             completions.withdraw(request);
             invoker.deliverUnlessBusy();
         }
@@ -201,7 +205,7 @@
             return;
         }
         request.attemptInFlight = attempt;
-        timers.scheduleAt(attempt.deadline(), attempt, 0);
+        attempt.timeout = timers.scheduleAt(attempt.deadline(), attempt, 0);
         endpointConnector.send(attempt);
     }
 
--- a/core/src/main/java/stonelb/core/TimerQueue.java
+++ b/core/src/main/java/stonelb/core/TimerQueue.java
@@ -8,6 +8,7 @@
  */
 public final class TimerQueue {
     private static final int INITIAL_CAPACITY = 64;
+    private static final int NOT_SCHEDULED = -1;
 
     /** The clock and the alarm of an event loop; a later call of {@link #wakeAt} replaces an earlier one. */
     public interface Alarm {
@@ -19,9 +20,24 @@
         void wakeAt(double whenMs);
     }
 
-    private record Timer(double dueAt, long sequence, TimerCallback callback, long token) {
+    /** A scheduled timer, by which it can be cancelled. */
+    public static final class Timer {
+        private final double dueAt;
+        private final long sequence;
+        private final TimerCallback callback;
+        private final long token;
 
-        boolean isBefore(Timer other) {
+        /** Its position in the heap, or {@link #NOT_SCHEDULED}. */
+        private int index = NOT_SCHEDULED;
+
+        private Timer(double dueAt, long sequence, TimerCallback callback, long token) {
+            this.dueAt = dueAt;
+            this.sequence = sequence;
+            this.callback = callback;
+            this.token = token;
+        }
+
+        private boolean isBefore(Timer other) {
             return dueAt < other.dueAt || (dueAt == other.dueAt && sequence < other.sequence);
         }
     }
@@ -43,20 +59,34 @@
     }
 
     /** Schedules a timer; a negative delay counts as 0. */
-    public void scheduleAfter(double delayMs, TimerCallback callback, long token) {
-        scheduleAt(now() + Math.max(0, delayMs), callback, token);
+    public Timer scheduleAfter(double delayMs, TimerCallback callback, long token) {
+        return scheduleAt(now() + Math.max(0, delayMs), callback, token);
     }
 
     /** Schedules a timer; {@code token} is passed to the callback. */
-    public void scheduleAt(double dueAt, TimerCallback callback, long token) {
+    public Timer scheduleAt(double dueAt, TimerCallback callback, long token) {
         if (size == heap.length) {
             heap = Arrays.copyOf(heap, 2 * size);
         }
-        insert(new Timer(dueAt, nextSequence++, callback, token));
+        Timer timer = new Timer(dueAt, nextSequence++, callback, token);
+        moveUp(timer, size++);
         if (dueAt < nextWakeAt) {
             nextWakeAt = dueAt;
             alarm.wakeAt(nextWakeAt);
         }
+        return timer;
+    }
+
+    /** Cancels a timer, and releases its callback with what that refers to; no effect once it has run. */
+    public void cancel(Timer timer) {
+        if (timer.index != NOT_SCHEDULED) {
+            remove(timer);
+        }
+    }
+
+    /** The number of timers that are scheduled. */
+    int size() {
+        return size;
     }
 
     /**
@@ -68,7 +98,8 @@
         long endSequence = nextSequence;
         nextWakeAt = Double.MAX_VALUE;
         while (size > 0 && heap[0].dueAt <= now && heap[0].sequence < endSequence) {
-            Timer timer = removeFirst();
+            Timer timer = heap[0];
+            remove(timer);
             timer.callback.onTimer(Math.max(now, now()), timer.token);
         }
         if (size > 0 && heap[0].dueAt < nextWakeAt) {
@@ -77,33 +108,53 @@
         }
     }
 
-    private void insert(Timer timer) {
-        int index = size++;
-        while (index > 0 && timer.isBefore(heap[(index - 1) / 2])) {
-            heap[index] = heap[(index - 1) / 2];
-            index = (index - 1) / 2;
+    private void remove(Timer timer) {
+        int index = timer.index;
+        timer.index = NOT_SCHEDULED;
+        Timer moved = heap[--size];
+        heap[size] = null;
+        if (moved == timer) {
+            return;
+        }
+        if (index > 0 && moved.isBefore(heap[parent(index)])) {
+            moveUp(moved, index);
+        } else {
+            moveDown(moved, index);
         }
-        heap[index] = timer;
     }
 
-    private Timer removeFirst() {
-        Timer first = heap[0];
-        Timer moved = heap[--size];
-        heap[size] = null;
-        int index = 0;
-        for (int child = 1; child < size; child = 2 * index + 1) {
+    private static int parent(int index) {
+        return (index - 1) / 2;
+    }
+
+    /** Places a timer at a free position, or above it while it is due before its parent. */
+    private void moveUp(Timer timer, int freeIndex) {
+        int index = freeIndex;
+        while (index > 0 && timer.isBefore(heap[parent(index)])) {
+            place(heap[parent(index)], index);
+            index = parent(index);
+        }
+        place(timer, index);
+    }
+
+    /** Places a timer at a free position, or below it while one of its children is due before. */
+    private void moveDown(Timer timer, int freeIndex) {
+        int index = freeIndex;
+        for (int child = 2 * index + 1; child < size; child = 2 * index + 1) {
             if (child + 1 < size && heap[child + 1].isBefore(heap[child])) {
                 child++;
             }
-            if (moved.isBefore(heap[child])) {
+            if (timer.isBefore(heap[child])) {
                 break;
             }
-            heap[index] = heap[child];
+            place(heap[child], index);
             index = child;
         }
-        if (size > 0) {
-            heap[index] = moved;
-        }
-        return first;
+        place(timer, index);
+    }
+
+    private void place(Timer timer, int index) {
+        heap[index] = timer;
+        timer.index = index;
     }
 }
--- a/core/src/test/java/stonelb/core/RequestTableTest.java
+++ b/core/src/test/java/stonelb/core/RequestTableTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -146,6 +148,29 @@
         assertEquals(0, requestTable.openRequests());
     }
 
+    /** review/6: timers held finished attempts, with body and response, until the deadline and so filled the heap. */
+    @Test
+    void finishedRequestAndItsResponseAreReleasedBeforeTheDeadline() {
+        listEndpoints(1);
+        WeakReference<RecordingRequest> request = new WeakReference<>(submit(READ, 4000));
+        WeakReference<Response> response = new WeakReference<>(new Response() {});
+        requestTable.attemptEnded(startedAttempts.remove(0), Outcome.OK, response.get());
+        for (int i = 0; i < 100 && (request.get() != null || response.get() != null); i++) {
+            System.gc();
+        }
+        assertNull(response.get());
+        assertNull(request.get());
+    }
+
+    /** A request that was rejected before it was submitted must not lower the number of open requests. */
+    @Test
+    void withdrawalOfRequestThatWasNotSubmittedHasNoEffect() {
+        listEndpoints(1);
+        submit(READ, 4000);
+        requestTable.withdraw(new RecordingRequest(new RequestAttributes(READ, 0, 5, clock + 4000, 1, 1, false)));
+        assertEquals(1, requestTable.openRequests());
+    }
+
     @Test
     void failedReadIsRetriedOnAnotherEndpointAndFailedWriteIsNot() {
         listEndpoints(2);
