One budget for the memory of messages; whoever holds most pays when it is used up

Callers saw: beside 280 clients that stop within a 64 KB message, requests of usual clients that come in pieces were answered "too many bytes of messages wait on all links" and closed. Cause: two bounds in each frontend; over the one on input, whoever read next was answered with an error. Responses were not counted, buffers of resting connections were. Over the share of input the largest incomplete message is answered with an error; a request beyond its share is rejected; a long response is read on when memory for it is reserved, in order, one always. Input buffers at rest hold nothing.

--- a/core/src/main/java/stonelb/io/EventLoop.java
+++ b/core/src/main/java/stonelb/io/EventLoop.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
+import stonelb.core.MemoryBudget;
 import stonelb.core.TimerQueue;
 
 /** The single event-loop thread that runs all connections and timers, with the clock and the alarm of the timers. */
@@ -41,6 +42,7 @@
     private final DoubleSupplier clock;
     private final ChannelProvider channels;
     private final TimerQueue timers = new TimerQueue(this);
+    private final MemoryBudget memory;
     private final DecodeQueue decodeQueue = new DecodeQueue(this::now, this::runAfterNextRead);
     private final RateLimitedLog log;
     private ScheduledFuture<?> alarm;
@@ -59,6 +61,12 @@
 
     /** Creates a loop with a clock in milliseconds and the channels of a provider. */
     public EventLoop(RateLimitedLog log, DoubleSupplier clock, ChannelProvider channels) {
+        this(log, clock, channels, MemoryBudget.ofHeap());
+    }
+
+    /** Creates a loop with a clock in milliseconds, the channels of a provider and a budget of memory. */
+    public EventLoop(RateLimitedLog log, DoubleSupplier clock, ChannelProvider channels, MemoryBudget memory) {
+        this.memory = memory;
         this.log = log;
         this.clock = clock;
         this.channels = channels;
@@ -94,6 +102,11 @@
         return timers;
     }
 
+    /** The memory that all connections may hold for messages. */
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     /** The connections whose input waits to be decoded. */
     public DecodeQueue decodeQueue() {
         return decodeQueue;
--- a/core/src/main/java/stonelb/io/InputBuffer.java
+++ b/core/src/main/java/stonelb/io/InputBuffer.java
@@ -5,17 +5,15 @@
 import java.util.Arrays;
 
 /**
- * The unconsumed input of a connection. The buffer grows up to a limit, and is compacted in place. Indexes are relative to
- * the first unconsumed byte.
+ * The unconsumed input of a connection. The buffer grows up to a limit, is compacted in place, and holds no memory once all
+ * input is consumed. Indexes are relative to the first unconsumed byte.
  */
 public final class InputBuffer {
-    private static final int INITIAL_BYTES = 4096;
-
-    /** A larger array is replaced by an initial one once all input is consumed. */
-    private static final int MAX_RETAINED_BYTES = 16 * INITIAL_BYTES;
+    private static final int MIN_BYTES = 1024;
+    private static final byte[] EMPTY = new byte[0];
 
     private final int maxBytes;
-    private byte[] bytes = new byte[INITIAL_BYTES];
+    private byte[] bytes = EMPTY;
     private int readIndex;
     private int writeIndex;
 
@@ -68,8 +66,7 @@
             throw new MalformedInputException("more than " + maxBytes + " bytes are waiting");
         }
         if (writeIndex + length > bytes.length) {
-            byte[] target =
-                    needed <= bytes.length ? bytes : new byte[Math.min(maxBytes, Math.max(needed, 2 * bytes.length))];
+            byte[] target = needed <= bytes.length ? bytes : new byte[grownCapacity(needed)];
             System.arraycopy(bytes, readIndex, target, 0, size());
             writeIndex = size();
             readIndex = 0;
@@ -77,6 +74,11 @@
         }
     }
 
+    private int grownCapacity(int needed) {
+        int preferred = Math.max(MIN_BYTES, 2 * bytes.length);
+        return Math.max(needed, Math.min(maxBytes, preferred));
+    }
+
     /** The index of the first line feed from {@code start} on, or -1. */
     public int lineEnd(int start) {
         for (int i = readIndex + start; i < writeIndex; i++) {
@@ -103,9 +105,7 @@
         if (readIndex == writeIndex) {
             readIndex = 0;
             writeIndex = 0;
-            if (bytes.length > MAX_RETAINED_BYTES) {
-                bytes = new byte[INITIAL_BYTES];
-            }
+            bytes = EMPTY;
         }
     }
 }
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import stonelb.core.Attempt;
+import stonelb.core.MemoryBudget;
 import stonelb.core.Response;
 import stonelb.core.TimerCallback;
 import stonelb.decision.Outcome;
@@ -34,8 +35,15 @@
 
     private static final double NEVER_IDLE = -1;
 
+    /** Bytes of a response up to which a connection reads without waiting for memory. */
+    private static final int SHORT_RESPONSE_BYTES = 16 * 1024;
+
+    /** Memory of the longest response while it is read: the input buffer and the parts that the parser has copied. */
+    private static final int LONG_RESPONSE_BYTES = 192 * 1024;
+
     private final EndpointConnectionPool pool;
     private final int incarnation;
+    private final MemoryBudget.Account memory;
     private Attempt attempt;
     /** The write of the attempt's request; done once its last byte has been sent. */
     private ChannelFuture requestWrite;
@@ -54,6 +62,7 @@
         super(MAX_INPUT_BYTES, log);
         this.pool = pool;
         incarnation = pool.incarnation();
+        memory = pool.memory().responses().open();
     }
 
     /** The incarnation of the endpoint that this connection was opened to. */
@@ -108,6 +117,9 @@
     /** Parses the response to the current attempt, if all of it has arrived. */
     protected abstract void readResponse() throws MalformedInputException;
 
+    /** Bytes of a partial response that the parser has consumed from {@link #in}. */
+    protected abstract int parserBytes();
+
     /** Called when the connection closes during an attempt; the end of the input may complete its response. */
     protected void onEndOfInput() {}
 
@@ -169,6 +181,31 @@
         } else if (in.size() > 0) {
             throw new MalformedInputException("response without a request");
         }
+        accountResponse();
+    }
+
+    private void accountResponse() {
+        int bytes = in.capacity() + parserBytes();
+        boolean isShort = bytes <= SHORT_RESPONSE_BYTES;
+        if (!isOpen() || (!isShort && memory.isReserved())) {
+            return;
+        }
+        memory.set(bytes);
+        if (!isShort) {
+            reserveLongResponse();
+        }
+    }
+
+    /** Reads on if there is memory for the longest response, else once there is. */
+    private void reserveLongResponse() {
+        if (!isOpen()) {
+            return; // onClosed has released the memory
+        }
+        boolean reserved = memory.reserve(LONG_RESPONSE_BYTES, this::reserveLongResponse);
+        if (!reserved) {
+            log.warn("memory for responses used up", "long responses of endpoints are read later");
+        }
+        channel().config().setAutoRead(reserved);
     }
 
     @Override
@@ -180,6 +217,7 @@
 
     @Override
     protected final void onClosed() {
+        memory.set(0);
         if (attempt != null) {
             onEndOfInput();
         }
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import stonelb.core.Attempt;
+import stonelb.core.MemoryBudget;
 import stonelb.core.Response;
 import stonelb.decision.Outcome;
 import stonelb.io.ConnectListener;
@@ -50,6 +51,10 @@
         return connections.now();
     }
 
+    MemoryBudget memory() {
+        return connections.memory();
+    }
+
     String endpointName() {
         return endpointName;
     }
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import stonelb.core.Attempt;
 import stonelb.core.EndpointConnector;
+import stonelb.core.MemoryBudget;
 import stonelb.core.RequestTable;
 import stonelb.core.Response;
 import stonelb.core.TimerCallback;
@@ -211,6 +212,10 @@
         loop.timers().scheduleAfter(delayMs, callback, 0);
     }
 
+    MemoryBudget memory() {
+        return loop.memory();
+    }
+
     RateLimitedLog log() {
         return log;
     }
--- a/gateway/src/main/java/stonelb/gateway/endpoint/HttpEndpointConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/HttpEndpointConnection.java
@@ -41,6 +41,11 @@
         }
     }
 
+    @Override
+    protected int parserBytes() {
+        return parser.bufferedBytes();
+    }
+
     /**
      * Derives the attempt's outcome from the status. 429 or 503 with the header {@code X-Unprocessed: 1} proves that
      * the endpoint rejected the request before executing it, as BUSY does over RESP2. Without that header, 429 and any
--- a/gateway/src/main/java/stonelb/gateway/endpoint/RespEndpointConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/RespEndpointConnection.java
@@ -17,6 +17,11 @@
         super(pool, log);
     }
 
+    @Override
+    protected int parserBytes() {
+        return parser.bufferedBytes();
+    }
+
     /**
      * A response is an array whose first element is the value. The error BUSY proves that the endpoint rejected the
      * request before executing it; after any other error the request may have been executed.
--- a/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
@@ -19,20 +19,18 @@
 public abstract class ClientConnection extends Connection implements ResponseWriter.Output {
     private static final int MAX_INPUT_BYTES = 256 * 1024;
 
-    /** Maximum number of requests without a response; decoding pauses at this limit. */
-    private static final int MAX_PENDING_RESPONSES = 512;
-
     private final Frontend frontend;
     private final ResponseWriter responses = new ResponseWriter(this);
     private final InputTracker inputTracker;
     private final InputScheduler inputScheduler;
     private final ConnectionLifecycle lifecycle = new ConnectionLifecycle();
     private double idleSince; // when it was opened or its last response became ready
-    private int reportedBytes; // buffered input as last reported to the frontend
+    private final InputMemory inputMemory;
 
     protected ClientConnection(Frontend frontend, RateLimitedLog log) {
         super(MAX_INPUT_BYTES, log);
         this.frontend = frontend;
+        inputMemory = new InputMemory(frontend.memory().input());
         inputTracker = new InputTracker(frontend.inputClock());
         inputScheduler = new InputScheduler(frontend, inputTracker, this::resume);
     }
@@ -69,7 +67,7 @@
         } else {
             in.skip(in.size());
         }
-        reportBufferedBytes();
+        accountInput();
         updateReading();
     }
 
@@ -93,7 +91,10 @@
     private void readMessages() throws MalformedInputException {
         double turnEnd = frontend.now() + DecodeQueue.TURN_MS;
         boolean incomplete = false;
-        while (lifecycle.acceptsRequests() && canReadMessage() && !incomplete) {
+        while (lifecycle.acceptsRequests()
+                && inputMemory.mayAddResponse(responses.size())
+                && isWritable()
+                && !incomplete) {
             incomplete = !readMessage();
             if (frontend.now() > turnEnd) {
                 inputScheduler.schedule();
@@ -106,22 +107,28 @@
         if (!lifecycle.acceptsRequests()) {
             in.skip(in.size());
         }
-        boolean withinLimit = reportBufferedBytes();
-        if (incomplete && !withinLimit && isMidMessage()) {
-            abandonMessage("too many bytes of messages wait on all links");
-        }
+        accountInput();
+        frontend.releaseInputMemory();
         updateReading();
     }
 
-    private boolean canReadMessage() {
-        return responses.size() < MAX_PENDING_RESPONSES && channel().isWritable();
+    private void accountInput() {
+        inputMemory.set(bufferedBytes(), responses.size());
+    }
+
+    private int bufferedBytes() {
+        return lifecycle.acceptsRequests() ? in.capacity() + parserBytes() : 0;
+    }
+
+    /** Bytes held for a message that is incomplete, 0 if there is none. */
+    final int partialMessageBytes() {
+        return isMidMessage() ? bufferedBytes() : 0;
     }
 
-    /** Reports the bytes buffered here; returns whether all connections together are within their limit. */
-    private boolean reportBufferedBytes() {
-        int previous = reportedBytes;
-        reportedBytes = lifecycle.acceptsRequests() ? in.capacity() + parserBytes() : 0;
-        return frontend.addBufferedBytes(reportedBytes - previous);
+    /** Answers a partial message with an error, to release its memory. */
+    final void abandonMessageForMemory() {
+        abandonMessage("too many bytes of messages wait on all links");
+        accountInput();
     }
 
     /**
@@ -224,6 +231,7 @@
         if (responses.isEmpty()) {
             idleSince = frontend.now();
         }
+        accountInput();
         updateReading();
     }
 
@@ -386,8 +394,7 @@
     @Override
     protected final void onClosed() {
         frontend.connections().remove(this);
-        frontend.addBufferedBytes(-reportedBytes);
-        reportedBytes = 0;
+        inputMemory.close();
         responses.removeAll().forEach(frontend::clientDisconnected);
     }
 }
--- a/gateway/src/main/java/stonelb/gateway/frontend/ConnectionRegistry.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ConnectionRegistry.java
@@ -107,6 +107,21 @@
         return null;
     }
 
+    /** Answers the partial message that holds most memory with an error; returns false if there is none. */
+    boolean abandonLargestMessage() {
+        ClientConnection largest = null;
+        for (ClientConnection connection : connections) {
+            if (largest == null || connection.partialMessageBytes() > largest.partialMessageBytes()) {
+                largest = connection;
+            }
+        }
+        boolean found = largest != null && largest.partialMessageBytes() > 0;
+        if (found) {
+            largest.abandonMessageForMemory();
+        }
+        return found;
+    }
+
     /** Closes connections that have been unused for too long, and those whose read or write has timed out. */
     void closeExpired(double now) {
         closeIdle(withoutRequest, now - FIRST_REQUEST_TIMEOUT_MS);
--- a/gateway/src/main/java/stonelb/gateway/frontend/Frontend.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/Frontend.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
+import stonelb.core.MemoryBudget;
 import stonelb.core.RequestTable;
 import stonelb.core.TimerCallback;
 import stonelb.io.EventLoop;
@@ -26,12 +27,6 @@
     /** Delay before a response for which there was no network buffer is written again. */
     private static final double WRITE_RETRY_MS = 5;
 
-    /** Limit on the bytes of the requests in flight, out of a heap of 48 MB. */
-    private static final long MAX_REQUEST_BYTES = 12L << 20;
-
-    /** Limit on the bytes of input that is not decoded yet, over all connections. */
-    private static final long MAX_BUFFERED_BYTES = 8L << 20;
-
     private final EventLoop loop;
     private final InputClock inputClock;
     private final RateLimitedLog log;
@@ -42,8 +37,6 @@
     private boolean draining;
     private boolean rejecting;
     private boolean reading = true;
-    private long requestBytes;
-    private long bufferedBytes;
 
     /**
      * Creates a frontend that does not listen yet.
@@ -105,39 +98,36 @@
         return connections;
     }
 
-    /**
-     * Accounts for input that connections have buffered.
-     *
-     * @param change the change in buffered bytes, negative for a decrease
-     * @return whether the total is within the limit, which protects the heap from many partial messages
-     */
-    final boolean addBufferedBytes(int change) {
-        bufferedBytes += change;
-        return bufferedBytes <= MAX_BUFFERED_BYTES;
+    final MemoryBudget memory() {
+        return loop.memory();
     }
 
     /** Whether so much input is buffered that connections should read less ahead. */
     final boolean isUnderMemoryPressure() {
-        return bufferedBytes > MAX_BUFFERED_BYTES / 2;
+        return memory().input().isUnderPressure();
+    }
+
+    /** Abandons the largest partial messages of this frontend's connections until all input is within its limit. */
+    final void releaseInputMemory() {
+        while (!memory().input().fits(0) && connections.abandonLargestMessage()) {
+            log.warn("memory for client input used up", "the largest incomplete message is answered with an error");
+        }
     }
 
     final boolean canAdmit(FrontendRequest request) {
         return !rejecting
                 && requestTable.openRequests() < maxOpenRequests
-                && requestBytes + request.sizeBytes() <= MAX_REQUEST_BYTES;
+                && memory().requests().fits(request.sizeBytes());
     }
 
     final void submit(FrontendRequest request) {
-        request.markSizeReserved();
-        requestBytes += request.sizeBytes();
+        request.memory().set(request.sizeBytes());
         requestTable.submit(request);
     }
 
     /** Called when the request has its response, whether it was submitted or not, or its client has disconnected. */
     final void requestEnded(FrontendRequest request) {
-        if (request.clearSizeReserved()) {
-            requestBytes -= request.sizeBytes();
-        }
+        request.memory().set(0);
         onRequestEnded(request);
     }
 
--- a/gateway/src/main/java/stonelb/gateway/frontend/FrontendRequest.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/FrontendRequest.java
@@ -1,22 +1,29 @@
 package stonelb.gateway.frontend;
 
 import stonelb.core.ClientRequest;
+import stonelb.core.MemoryBudget;
 import stonelb.core.RequestAttributes;
 import stonelb.gateway.endpoint.OutboundRequest;
 
 /** A request from a client connection, which also holds its place in the order of that connection's responses. */
 public abstract class FrontendRequest extends ClientRequest implements OutboundRequest, PendingResponse {
     private final ClientConnection connection;
-    private boolean sizeReserved;
+    private final MemoryBudget.Account memory;
 
     protected FrontendRequest(ClientConnection connection, RequestAttributes attributes) {
         super(attributes);
         this.connection = connection;
+        memory = connection.frontend().memory().requests().open();
     }
 
     /** Bytes held until the request has its response. */
     protected abstract int sizeBytes();
 
+    /** The memory held for the request, then for its response. */
+    final MemoryBudget.Account memory() {
+        return memory;
+    }
+
     protected final ClientConnection connection() {
         return connection;
     }
@@ -26,24 +33,23 @@
         return connection.canDetectDisconnect();
     }
 
-    /** Called by subclasses once the response can be written. */
-    protected final void responseReady() {
+    /**
+     * Called by subclasses once the response can be written; what was kept for the request is released before.
+     *
+     * @param responseBytes memory held until the response is written
+     */
+    protected final void responseReady(long responseBytes) {
         connection.frontend().requestEnded(this);
+        memory.set(connection.frontend().memory().responses(), responseBytes);
         connection.writeReadyResponses();
     }
 
-    final void rejectOverload() {
-        rejected(Frontend.OVERLOAD_RETRY_AFTER_MS);
-    }
-
-    final void markSizeReserved() {
-        sizeReserved = true;
+    @Override
+    public final void onDequeued() {
+        memory.set(0);
     }
 
-    /** Marks its bytes as released; returns whether they were still accounted for. */
-    final boolean clearSizeReserved() {
-        boolean wasReserved = sizeReserved;
-        sizeReserved = false;
-        return wasReserved;
+    final void rejectOverload() {
+        rejected(Frontend.OVERLOAD_RETRY_AFTER_MS);
     }
 }
--- a/gateway/src/main/java/stonelb/gateway/frontend/PendingResponse.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/PendingResponse.java
@@ -9,4 +9,7 @@
 
     /** Writes the complete response. Called once, after {@link #isReady} and all earlier responses. */
     void writeResponse(ByteBuf out);
+
+    /** Called once when the response is written or its connection has closed. */
+    default void onDequeued() {}
 }
--- a/gateway/src/main/java/stonelb/gateway/frontend/ResponseWriter.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ResponseWriter.java
@@ -141,7 +141,7 @@
                 out.writerIndex(start);
                 return false;
             }
-            responses.poll();
+            responses.poll().onDequeued();
         }
         return true;
     }
@@ -150,6 +150,7 @@
     List<FrontendRequest> removeAll() {
         List<FrontendRequest> unanswered = new ArrayList<>();
         for (PendingResponse response : responses) {
+            response.onDequeued();
             if (response instanceof FrontendRequest request && !request.isDone()) {
                 unanswered.add(request);
             }
--- a/gateway/src/main/java/stonelb/gateway/platform/PlatformRequest.java
+++ b/gateway/src/main/java/stonelb/gateway/platform/PlatformRequest.java
@@ -13,8 +13,13 @@
 
 /** A request received as one of the platform's commands. */
 final class PlatformRequest extends FrontendRequest {
-    private final List<byte[]> arguments;
+    /** Memory of a request besides its arguments: its objects here, in the request table and in the decision engine. */
+    private static final int OVERHEAD_BYTES = 1024;
+
+    private final String clientRequestId;
+    private final int sizeBytes;
     private final ParsedRequest parsed;
+    private List<byte[]> arguments; // null once the request has its response
     private byte[] responseValue;
     private String responseLine;
 
@@ -22,20 +27,19 @@
         super(connection, parsed.attributes());
         this.arguments = arguments;
         this.parsed = parsed;
+        clientRequestId = new String(arguments.get(CommandArguments.REQUEST_ID), StandardCharsets.ISO_8859_1);
+        sizeBytes = OVERHEAD_BYTES
+                + arguments.stream().mapToInt(argument -> argument.length).sum();
     }
 
     /** The request id chosen by the client. */
     String clientRequestId() {
-        return new String(arguments.get(CommandArguments.REQUEST_ID), StandardCharsets.ISO_8859_1);
+        return clientRequestId;
     }
 
     @Override
     protected int sizeBytes() {
-        int size = 0;
-        for (byte[] argument : arguments) {
-            size += argument.length;
-        }
-        return size;
+        return sizeBytes;
     }
 
     @Override
@@ -74,18 +78,23 @@
     @Override
     protected void served(Response response) {
         responseValue = ((RespResponse) response).bytes();
-        responseReady();
+        arguments = null;
+        responseReady(responseValue.length);
     }
 
     @Override
     protected void rejected(double retryAfterMs) {
-        responseLine = retryAfterMs >= 1 ? "-BUSY " + Math.round(retryAfterMs) : "-BUSY";
-        responseReady();
+        respondLine(retryAfterMs >= 1 ? "-BUSY " + Math.round(retryAfterMs) : "-BUSY");
     }
 
     @Override
     protected void failed(FailureReason reason) {
-        responseLine = reason == FailureReason.DEADLINE_EXCEEDED ? "-ERR out of time" : "-ERR failed";
-        responseReady();
+        respondLine(reason == FailureReason.DEADLINE_EXCEEDED ? "-ERR out of time" : "-ERR failed");
+    }
+
+    private void respondLine(String line) {
+        responseLine = line;
+        arguments = null;
+        responseReady(line.length());
     }
 }
