Path templates are matched without backtracking: one long path stopped the event loop

Cause: Routes matched the segment with .+?-.+?-.+?\.json, n^3 / 6 tries for n dashes. Fix: SegmentTemplate takes the first occurrence of each literal; work is bounded by the length of the segment times the longest literal.

--- a/core/src/main/java/stonelb/description/Routes.java
+++ b/core/src/main/java/stonelb/description/Routes.java
@@ -1,20 +1,16 @@
 package stonelb.description;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.regex.Pattern;
 
 /**
  * The routes of one description, as a tree of path segments. Not modified once it is built: a reload creates a new object.
  */
 public final class Routes {
-    private static final Pattern VARIABLE = Pattern.compile("\\{[^{}]*}");
-    private static final String ANY_VARIABLE = "{}";
-    private static final String VARIABLE_VALUE = "(?s:.+?)";
-
     /** The operations of the path that a request matches, by method. */
     public record Match(Map<String, Route> operations) {
 
@@ -32,19 +28,13 @@
     /** An operation with its method and its path template, including the server prefix. */
     public record Entry(String path, String method, Route route) {}
 
-    /** A segment with variables; {@code key} is the segment without the names of the variables. */
-    private record Template(String key, Pattern pattern, Node node) {
-
-        int literalLength() {
-            return key.replace(ANY_VARIABLE, "").length();
-        }
-    }
+    private record TemplateNode(SegmentTemplate template, Node node) {}
 
     private static final class Node {
         private final Map<String, Node> literals = new HashMap<>();
 
         /** In the order in which they are tried: the longest literal part first. */
-        private final List<Template> templates = new ArrayList<>();
+        private final List<TemplateNode> templates = new ArrayList<>();
 
         private Map<String, Route> operations;
     }
@@ -66,8 +56,8 @@
     boolean add(String path, Map<String, Route> operations) {
         Node node = root;
         for (String segment : PathSegments.split(path)) {
-            node = VARIABLE.matcher(segment).find()
-                    ? templateNode(node, segment)
+            node = SegmentTemplate.hasVariable(segment)
+                    ? templateNode(node, SegmentTemplate.parse(segment))
                     : node.literals.computeIfAbsent(PathSegments.decodeOrKeep(segment), unused -> new Node());
         }
         if (node.operations != null) {
@@ -78,33 +68,19 @@
         return true;
     }
 
-    private static Node templateNode(Node parent, String segment) {
-        String key = VARIABLE.matcher(segment).replaceAll(ANY_VARIABLE);
-        for (Template template : parent.templates) {
-            if (template.key.equals(key)) {
-                return template.node;
+    private static Node templateNode(Node parent, SegmentTemplate template) {
+        for (TemplateNode existing : parent.templates) {
+            if (existing.template.key().equals(template.key())) {
+                return existing.node;
             }
         }
-        Template added = new Template(key, templatePattern(key), new Node());
+        TemplateNode added = new TemplateNode(template, new Node());
         parent.templates.add(added);
-        parent.templates.sort((first, second) -> Integer.compare(second.literalLength(), first.literalLength()));
+        parent.templates.sort(Comparator.comparingInt((TemplateNode child) -> child.template.literalLength())
+                .reversed());
         return added.node;
     }
 
-    private static Pattern templatePattern(String key) {
-        StringBuilder pattern = new StringBuilder();
-        int literalStart = 0;
-        int variableStart = key.indexOf(ANY_VARIABLE);
-        while (variableStart >= 0) {
-            pattern.append(Pattern.quote(key.substring(literalStart, variableStart)))
-                    .append(VARIABLE_VALUE);
-            literalStart = variableStart + ANY_VARIABLE.length();
-            variableStart = key.indexOf(ANY_VARIABLE, literalStart);
-        }
-        pattern.append(Pattern.quote(key.substring(literalStart)));
-        return Pattern.compile(pattern.toString());
-    }
-
     /**
      * Finds the operations of a request path; null if there are none. Literal segments take precedence over templates.
      *
@@ -135,9 +111,9 @@
         Node literal = node.literals.get(segment);
         Map<String, Route> found = literal == null ? null : find(literal, segments, depth + 1);
         for (int i = 0; found == null && i < node.templates.size(); i++) {
-            Template template = node.templates.get(i);
-            if (template.pattern.matcher(segment).matches()) {
-                found = find(template.node, segments, depth + 1);
+            TemplateNode child = node.templates.get(i);
+            if (child.template.matches(segment)) {
+                found = find(child.node, segments, depth + 1);
             }
         }
         return found;
--- a/gateway/src/test/java/stonelb/gateway/HostileClientsTest.java
+++ b/gateway/src/test/java/stonelb/gateway/HostileClientsTest.java
@@ -31,6 +31,8 @@
 class HostileClientsTest {
     private static final long TIMEOUT_S = 60;
     private static final int USUAL_CLIENTS = 6;
+    private static final String EXPORT_PATH =
+            "  /exports/{year}-{month}-{day}.json:\n    get: {x-stonelb-class: read}\n";
     private static final String LONG_BODY = "z".repeat(60_000);
 
     @TempDir
@@ -45,7 +47,7 @@
     @BeforeEach
     void start() throws Exception {
         platform = new StubPlatform();
-        Files.writeString(folder.resolve("plans.yaml"), OpenApiFrontendTest.DESCRIPTION);
+        Files.writeString(folder.resolve("plans.yaml"), OpenApiFrontendTest.DESCRIPTION + EXPORT_PATH);
         gateway = new GatewayProcess(
                 folder,
                 platform.config("127.0.0.1:0", GatewayProcess.UNLIMITED_PLAN),
@@ -98,6 +100,20 @@
         assertUsualClientsWereServed();
     }
 
+    /** review/8: matching one long path against a segment with three variables stopped the event loop for good. */
+    @Test
+    void longPathAgainstSegmentWithManyVariablesDoesNotDelayOthers() throws Exception {
+        int httpPort = gateway.port("HTTP requests");
+        for (int i = 0; i < 20; i++) {
+            try (Client client = new Client(httpPort)) {
+                String target = "GET /v1/exports/" + "-".repeat(7900);
+                String request = OpenApiFrontendTest.request(target, "open", UsualClients.DEADLINE_MS, "x");
+                assertEquals(404, client.httpCall(request).status());
+            }
+        }
+        assertUsualClientsWereServed();
+    }
+
     /**
      * Clients that stop within a large message used up the memory for input; then requests of others that came in
      * pieces were answered with an error.
