At most 16,384 customers are known: requests under ever new names filled the heap

Cause: a lease is kept for 60 s for each customer of which a request came, also a rejected one. Fix: CustomerTable. At the bound the least recently used customer leaves of which nothing is in flight, but none that has used a part of its ceiling which is not full again: that would be granted twice. Below the bound nothing changes, the order of customers included. RequestTableTest.numberOfKnownCustomersIsBounded failed before (119,669 entries after 100,000 names).

--- a/core/src/test/java/stonelb/core/RequestTableTest.java
+++ b/core/src/test/java/stonelb/core/RequestTableTest.java
@@ -22,6 +22,7 @@
 import stonelb.decision.Plan;
 import stonelb.decision.RequestClass;
 import stonelb.decision.SlowStart;
+import stonelb.standins.ObjectGraphSize;
 
 /**
  * The request table on a simulated clock: each request gets one final response and has at most one attempt in flight,
@@ -31,6 +32,9 @@
     private static final int READ = 0;
     private static final int WRITE = 1;
 
+    /** Two entries for each customer that the decision engine may know, with room for its other state. */
+    private static final int MAX_CUSTOMER_ELEMENTS = 40_000;
+
     private double clock = 1000;
     private final List<Attempt> startedAttempts = new ArrayList<>();
     private final List<Attempt> abandonedAttempts = new ArrayList<>();
@@ -162,6 +166,18 @@
         assertNull(request.get());
     }
 
+    /** A lease was kept for each customer ever named, also of rejected requests, which filled the heap. */
+    @Test
+    void numberOfKnownCustomersIsBounded() throws IllegalAccessException {
+        for (int customer = 0; customer < 100_000; customer++) {
+            requestTable.submit(
+                    new RecordingRequest(new RequestAttributes(READ, 0, customer, clock + 1000, 1, 1, false)));
+            advanceClock(customer % 20 == 0 ? 1 : 0); // ends the timers of earlier requests
+        }
+        int elements = ObjectGraphSize.of(requestTable);
+        assertTrue(elements < MAX_CUSTOMER_ELEMENTS, elements + " elements of all collections");
+    }
+
     /** A request that was rejected before it was submitted must not lower the number of open requests. */
     @Test
     void withdrawalOfRequestThatWasNotSubmittedHasNoEffect() {
--- a/decision/src/main/java/stonelb/decision/DefaultDecisionEngine.java
+++ b/decision/src/main/java/stonelb/decision/DefaultDecisionEngine.java
@@ -1,9 +1,7 @@
 // The interface, with its types, events and actions: DecisionEngine.java.
 package stonelb.decision;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /** Handles the events of one gateway: a request goes through its quota, the slots and endpoint selection. */
 public final class DefaultDecisionEngine implements DecisionEngine {
@@ -15,7 +13,7 @@
     private final DecisionSettings settings;
     private final DecisionActions actions;
     private final EngineComponents parts;
-    private final Map<Long, Customer> customers = new LinkedHashMap<>();
+    private final CustomerTable customers;
     private double nextSplitAtMs;
 
     /** Starts an engine; engines with the same settings, seed and events take the same actions. */
@@ -23,6 +21,7 @@
         this.settings = settings;
         this.actions = actions;
         parts = EngineComponents.create(settings, seed, actions);
+        customers = new CustomerTable(parts.leases());
         nextSplitAtMs = now + SPLIT_PERIOD_MS;
         actions.schedule(TICK_MS, TICK_TOKEN);
         if (settings.endpointsOnRequest()) {
@@ -48,12 +47,12 @@
         // Answers the client before its deadline even if the endpoint's response is lost.
         double timeLeftMs = Math.max(0, arrival.deadlineMs() - settings.timerResolutionMs() - now);
         actions.schedule(timeLeftMs, arrival.id() << REQUEST_TOKEN_SHIFT);
-        if (parts.latency().shouldShed(now, request)) {
+        boolean shed = parts.latency().shouldShed(now, request);
+        request.setCustomer(shed ? null : customers.findOrAdd(now, arrival));
+        if (request.customer() == null) {
             parts.dispatcher().reject(request, settings.attemptLimits().maxRetryAfterMs());
             return;
         }
-        request.setCustomer(customers.computeIfAbsent(
-                arrival.customer(), id -> new Customer(parts.leases().open(now, arrival))));
         // While no slot is free, no units are taken from the counter before admission.
         admit(
                 now,
@@ -127,7 +126,7 @@
     @Override
     public void counterAnswered(double now, long name, Outcome outcome, double latencyMs, double total) {
         parts.counter().callEnded(now, outcome, latencyMs);
-        Customer customer = customers.get(parts.leases().customersByName().get(name));
+        Customer customer = customers.findByCounterName(name);
         if (customer == null || !customer.lease().counterAnswered(now, name, outcome, total)) {
             return;
         }
@@ -161,7 +160,7 @@
         if (now >= nextSplitAtMs) {
             nextSplitAtMs = now + SPLIT_PERIOD_MS;
             parts.slots().split(SPLIT_PERIOD_MS);
-            customers.values().removeIf(customer -> customer.lease().closeIfIdle(now, customer.hasWaiting()));
+            customers.closeIdle(now);
         }
     }
 
