Ids of requests that may have run are kept: one ran twice after its client had left

Cause: only ids of open requests were known, and a request ends with its client. Idempotent ones may come again.

--- a/core/src/main/java/stonelb/core/ClientRequest.java
+++ b/core/src/main/java/stonelb/core/ClientRequest.java
@@ -17,6 +17,9 @@
 
     boolean done;
 
+    /** Whether an attempt that has ended may have been executed. */
+    boolean executedPossibly;
+
     /** Completes the request if the decision engine does not; cancelled when it is done. */
     TimerQueue.Timer expiry;
 
@@ -35,6 +38,11 @@
         return done;
     }
 
+    /** Whether an endpoint may have executed the request, or still may. */
+    public final boolean mayHaveExecuted() {
+        return executedPossibly || attemptInFlight != null;
+    }
+
     /**
      * Whether a disconnect of the client can be detected now. No attempt is started while it can't, for example while
      * reading from the client is paused.
--- a/core/src/main/java/stonelb/core/CompletionQueue.java
+++ b/core/src/main/java/stonelb/core/CompletionQueue.java
@@ -44,6 +44,7 @@
         attempt.finished = true;
         attempt.outcome = outcome;
         attempt.response = response;
+        attempt.request().executedPossibly |= !outcome.provesNotExecuted();
         if (attempt.timeout != null) {
             timers.cancel(attempt.timeout);
         }
--- a/gateway/src/main/java/stonelb/gateway/platform/PlatformConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/platform/PlatformConnection.java
@@ -75,7 +75,7 @@
         PlatformRequest request;
         try {
             request = new PlatformRequest(
-                    this, arguments, frontend.requestParser().parse(arrivalTime(), idempotent, arguments));
+                    this, idempotent, arguments, frontend.requestParser().parse(arrivalTime(), idempotent, arguments));
             frontend.register(request);
         } catch (MalformedInputException e) {
             log.warn("invalid request", e.getMessage());
--- a/gateway/src/main/java/stonelb/gateway/platform/PlatformFrontend.java
+++ b/gateway/src/main/java/stonelb/gateway/platform/PlatformFrontend.java
@@ -1,7 +1,5 @@
 package stonelb.gateway.platform;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import stonelb.config.Configuration;
 import stonelb.core.RequestTable;
@@ -17,7 +15,7 @@
 public final class PlatformFrontend extends Frontend {
     private final PlatformRequestParser requestParser;
     private final BooleanSupplier isReady;
-    private final Set<String> openRequestIds = new HashSet<>();
+    private final RequestIds requestIds = new RequestIds();
 
     /**
      * Creates a frontend that does not listen yet.
@@ -56,17 +54,17 @@
     /**
      * Reserves the request's id until the request ends.
      *
-     * @throws MalformedInputException if another open request has the same id
+     * @throws MalformedInputException if another request with the same id is open or may have been executed
      */
     void register(PlatformRequest request) throws MalformedInputException {
-        if (!openRequestIds.add(request.clientRequestId())) {
-            throw new MalformedInputException("a request with this id is open");
-        }
+        requestIds.open(request.clientRequestId(), now());
     }
 
     @Override
     protected void onRequestEnded(FrontendRequest request) {
-        openRequestIds.remove(((PlatformRequest) request).clientRequestId());
+        PlatformRequest ended = (PlatformRequest) request;
+        boolean mayNotRunAgain = !ended.isIdempotent() && ended.mayHaveExecuted();
+        requestIds.close(ended.clientRequestId(), mayNotRunAgain, now());
     }
 
     PlatformRequestParser requestParser() {
--- a/gateway/src/main/java/stonelb/gateway/platform/PlatformRequest.java
+++ b/gateway/src/main/java/stonelb/gateway/platform/PlatformRequest.java
@@ -18,13 +18,15 @@
 
     private final String clientRequestId;
     private final int sizeBytes;
+    private final boolean idempotent;
     private final ParsedRequest parsed;
     private List<byte[]> arguments; // null once the request has its response
     private byte[] responseValue;
     private String responseLine;
 
-    PlatformRequest(ClientConnection connection, List<byte[]> arguments, ParsedRequest parsed) {
+    PlatformRequest(ClientConnection connection, boolean idempotent, List<byte[]> arguments, ParsedRequest parsed) {
         super(connection, parsed.attributes());
+        this.idempotent = idempotent;
         this.arguments = arguments;
         this.parsed = parsed;
         clientRequestId = new String(arguments.get(CommandArguments.REQUEST_ID), StandardCharsets.ISO_8859_1);
@@ -37,6 +39,10 @@
         return clientRequestId;
     }
 
+    boolean isIdempotent() {
+        return idempotent;
+    }
+
     @Override
     protected int sizeBytes() {
         return sizeBytes;
--- a/gateway/src/test/java/stonelb/gateway/GatewayProcessFixture.java
+++ b/gateway/src/test/java/stonelb/gateway/GatewayProcessFixture.java
@@ -21,6 +21,7 @@
     StubPlatform platform;
     GatewayProcess gateway;
     Client client;
+    private int logRequests;
 
     @BeforeEach
     void start() throws Exception {
@@ -53,6 +54,7 @@
 
     /** Sends a request that is not idempotent and returns the response. */
     String log(String plan, int waitMs, String body) throws IOException {
-        return client.call("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d42", attributes("log", plan, waitMs), body);
+        String id = "log" + logRequests++;
+        return client.call("Q.DO", "00000000b4d65521", id, attributes("log", plan, waitMs), body);
     }
 }
--- a/gateway/src/test/java/stonelb/gateway/PlatformFrontendTest.java
+++ b/gateway/src/test/java/stonelb/gateway/PlatformFrontendTest.java
@@ -289,6 +289,31 @@
         }
     }
 
+    /**
+     * The id of a request was free as soon as its client had left, though an endpoint could still execute it: the same
+     * request on another connection was executed a second time.
+     */
+    @Test
+    void requestThatMayHaveRunIsNotForwardedAgainAfterItsClientLeft() throws Exception {
+        String[] write = {"Q.DO", CUSTOMER, "again", attributes("log", "open", 9000), "slow 300"};
+        try (Client leavingClient = new Client(client.socket.getPort())) {
+            leavingClient.sendCommand(write);
+            GatewayProcess.awaitCondition(
+                    "it is being executed", () -> platform.executedRequests.contains("Q.DO slow 300"));
+        }
+        GatewayProcess.awaitCondition("the gateway has seen the disconnect", () -> !client.call(write)
+                .equals("-ERR a request with this id is open"));
+        assertEquals("-ERR a request with this id may have run", client.call(write));
+        assertEquals(
+                1,
+                platform.executedRequests.stream()
+                        .filter("Q.DO slow 300"::equals)
+                        .count());
+        String[] read = {"Q.ASK", CUSTOMER, "again2", attributes("read", "open", 9000), "x"};
+        assertEquals("echo x", client.call(read));
+        assertEquals("echo x", client.call(read), "an idempotent request may come again");
+    }
+
     @Test
     void connectionWithoutRequestIsClosedAndPartialRequestIsRejected() throws Exception {
         try (Client clientWithoutRequest = new Client(client.socket.getPort());
