Attempts that wait are not written to a process that replaced the chosen one

Cause: RequestTable.maySend asked whether the endpoint takes requests, not which process it is. Fix: an attempt keeps the start time of the process; maySend, the one permission to write, compares it with the list. Such an attempt ends as not sent, and the engine chooses anew. RequestTableTest.queuedAttemptIsNotSentToProcessThatReplacedItsEndpoint failed before.

--- a/core/src/main/java/stonelb/core/Attempt.java
+++ b/core/src/main/java/stonelb/core/Attempt.java
@@ -8,6 +8,10 @@
     private final ClientRequest request;
     private final int number;
     private final long endpoint;
+
+    /** When the process that the decision engine chose had started, in milliseconds on the clock of the table. */
+    private final double endpointStartedAt;
+
     private final double startedAt;
     private final double deadline;
 
@@ -29,12 +33,14 @@
             ClientRequest request,
             int number,
             long endpoint,
+            double endpointStartedAt,
             double startedAt,
             double deadline) {
         this.requestTable = requestTable;
         this.request = request;
         this.number = number;
         this.endpoint = endpoint;
+        this.endpointStartedAt = endpointStartedAt;
         this.startedAt = startedAt;
         this.deadline = deadline;
     }
@@ -59,6 +65,10 @@
         return endpoint;
     }
 
+    double endpointStartedAt() {
+        return endpointStartedAt;
+    }
+
     /** When it was started, in milliseconds on the clock of the request table. */
     public double startedAt() {
         return startedAt;
--- a/core/src/main/java/stonelb/core/RequestTable.java
+++ b/core/src/main/java/stonelb/core/RequestTable.java
@@ -135,15 +135,15 @@
 
     /**
      * Whether an attempt may be written to a connection; no other code permits it. Connections check this directly
-     * before the write, since an attempt may have waited for a connection while its endpoint began to drain, its
-     * request was answered, its deadline passed or its client disconnected.
+     * before the write, since an attempt may have waited for a connection while its endpoint began to drain or was
+     * replaced by another process, its request was answered, its deadline passed or its client disconnected.
      */
     public boolean maySend(Attempt attempt) {
         return !attempt.finished
                 && !attempt.request().done
                 && attempt.request().canDetectDisconnect()
                 && now() < attempt.deadline()
-                && endpointStates.isReady(attempt.endpoint());
+                && endpointStates.isReady(attempt.endpoint(), attempt.endpointStartedAt());
     }
 
     /** Completes every open request, as the last step of a graceful shutdown. */
@@ -199,7 +199,9 @@
         double now = now();
         double deadline = responseDeadline(request);
         double attemptDeadline = attemptTimeoutMs > 0 ? Math.min(deadline, now + attemptTimeoutMs) : deadline;
-        Attempt attempt = new Attempt(this, request, request.attemptsStarted++, endpointId, now, attemptDeadline);
+        double endpointStartedAt = endpointStates.startedAtMs(endpointId);
+        Attempt attempt = new Attempt(
+                this, request, request.attemptsStarted++, endpointId, endpointStartedAt, now, attemptDeadline);
         if (!mayStartAttempt(request)) {
             completions.finish(attempt, Outcome.NOT_SENT, null);
             return;
--- a/core/src/test/java/stonelb/core/RequestTableTest.java
+++ b/core/src/test/java/stonelb/core/RequestTableTest.java
@@ -259,6 +259,19 @@
         assertFalse(requestTable.maySend(startedAttempts.get(0)));
     }
 
+    /** An attempt that waits for a connection was sent to the process that replaced the chosen one. */
+    @Test
+    void queuedAttemptIsNotSentToProcessThatReplacedItsEndpoint() {
+        listEndpoints(1);
+        submit(READ, 4000);
+        requestTable.endpointsChanged(
+                EndpointListType.DELTA, List.of(new Endpoint(1, EndpointState.READY, 0, 2, 0, 0)));
+        assertTrue(requestTable.maySend(startedAttempts.get(0)), "another weight, the same process");
+        requestTable.endpointsChanged(
+                EndpointListType.DELTA, List.of(new Endpoint(1, EndpointState.READY, clock, 1, 0, 0)));
+        assertFalse(requestTable.maySend(startedAttempts.get(0)));
+    }
+
     @Test
     void withdrawnRequestAbandonsItsAttemptAndGetsNoResponse() {
         listEndpoints(1);
