A restarted discovery service is asked for its complete list

Fix: changes with a lower version than the one held make the next request one for all. DiscoveryWatchTest.restartedDiscoveryIsAskedForItsCompleteList failed before (no such request within 30 s).

--- a/core/src/main/java/stonelb/discovery/EndpointList.java
+++ b/core/src/main/java/stonelb/discovery/EndpointList.java
@@ -80,14 +80,17 @@
      * Applies a response of the discovery service.
      *
      * @param source address of the service
-     * @return the version of the list
+     * @return the version of the list; -1 if the next response has to be complete, since these changes are of a service
+     *     that was restarted and counts versions anew
      * @throws MalformedInputException if the response is malformed; nothing is changed then
      */
     long apply(byte[] body, InetSocketAddress source) throws MalformedInputException {
         ParsedList parsed =
                 EndpointListParser.parse(new InputStreamReader(new ByteArrayInputStream(body), StandardCharsets.UTF_8));
         startTimes.beginResponse(source);
+        boolean restarted = !parsed.snapshot() && parsed.version() < version;
         apply(parsed, parsed.snapshot() ? EndpointListType.SNAPSHOT : EndpointListType.DELTA);
+        version = restarted ? EndpointListParser.NO_VERSION : version;
         return version;
     }
 
--- a/gateway/src/test/java/stonelb/gateway/DiscoveryWatchTest.java
+++ b/gateway/src/test/java/stonelb/gateway/DiscoveryWatchTest.java
@@ -38,7 +38,7 @@
         }
     }
 
-    private String snapshot;
+    private volatile String snapshot;
 
     private static String emptyDelta(int index) {
         return StubServer.httpResponse(200, "", "{\"index\":" + index + ",\"snapshot\":false,\"endpoints\":[]}");
@@ -86,6 +86,32 @@
         }
     }
 
+    /** A service that was restarted counts versions anew; changes that it reports are not those since the version held. */
+    @Test
+    void restartedDiscoveryIsAskedForItsCompleteList() throws Exception {
+        try (StubPlatform platform = new StubPlatform();
+                StubServer discovery = new StubServer(this::serveDiscovery)) {
+            snapshot = platform.endpointList().replaceFirst("\"index\":\\d+", "\"index\":41");
+            watchResponse = emptyDelta(41);
+            String config = platform.config("127.0.0.1:0", GatewayProcess.UNLIMITED_PLAN)
+                    .replace(platform.discovery.address(), discovery.address());
+            try (GatewayProcess program = new GatewayProcess(folder, config, null)) {
+                program.port("RESP2 requests");
+                GatewayProcess.awaitCondition("the list is watched", () -> discoveryTargets.stream()
+                        .anyMatch(requested -> requested.contains("index=41&")));
+                int before = discoveryTargets.size();
+                snapshot = snapshot.replace("\"index\":41", "\"index\":5");
+                watchResponse = emptyDelta(5);
+                GatewayProcess.awaitCondition(
+                        "the complete list is requested",
+                        () -> discoveryTargets.stream().skip(before).anyMatch("/catalog/members"::equals));
+                GatewayProcess.awaitCondition(
+                        "the new versions are used",
+                        () -> discoveryTargets.get(discoveryTargets.size() - 1).contains("index=5&"));
+            }
+        }
+    }
+
     /** Snapshot requests must not add load to an overloaded discovery. */
     @Test
     void overloadedDiscoveryIsPolledForDeltasOnly() throws Exception {
