--- a/gateway/src/test/java/stonelb/gateway/ReplayTest.java
+++ b/gateway/src/test/java/stonelb/gateway/ReplayTest.java
@@ -145,7 +145,8 @@
             List<String> responses = new ArrayList<>();
             try (Client client = new Client(frontend[0].listen(config.listen()).getPort())) {
                 for (ReplayedRequest request : traffic()) {
-                    responses.add(openApi ? sendOverHttp(client, request) : sendOverResp(client, request));
+                    String id = "id" + responses.size();
+                    responses.add(openApi ? sendOverHttp(client, request) : sendOverResp(client, id, request));
                 }
             }
             CompletableFuture<ReplayResult> result = new CompletableFuture<>();
@@ -161,11 +162,11 @@
         }
     }
 
-    private static String sendOverResp(Client client, ReplayedRequest request) throws Exception {
+    private static String sendOverResp(Client client, String id, ReplayedRequest request) throws Exception {
         String response = client.call(
                 request.log ? "Q.DO" : "Q.ASK",
                 request.customer,
-                "9",
+                id,
                 "c=" + (request.log ? "log" : "read") + ",t=" + request.plan + ",d=9000,units=" + (request.log ? 1 : 2)
                         + ",spread=1,first=0",
                 request.body);
