An Error in one call of the engine, or in one decoder, no longer stops all others

Found by reading, shown by tests: after an Error in an action of the engine (exhausted network buffers, say) EngineInvoker stayed busy, and every later request was refused inside the gateway ("the decision engine was called from within its own action"). Fix: both go on in a finally block; an attempt without a buffer ends as not sent; a decoder that throws closes its connection, as an exception in a response did (closeOnException in Connection). RequestTableTest.requestsAreForwardedAfterErrorInEngine and DecodeQueueTest. othersAreDecodedAfterOneHasThrown failed before.

--- a/core/src/main/java/stonelb/core/EngineInvoker.java
+++ b/core/src/main/java/stonelb/core/EngineInvoker.java
@@ -35,8 +35,11 @@
             throw new IllegalStateException("the decision engine was called from within its own action");
         }
         busy = true;
-        runReportingFaults(event);
-        deliver();
+        try {
+            runReportingFaults(event);
+        } finally { // also after an Error, such as exhausted network buffers
+            deliver();
+        }
     }
 
     /** Delivers queued events now, unless a call is in progress that will deliver them at its end. */
--- a/core/src/main/java/stonelb/io/Connection.java
+++ b/core/src/main/java/stonelb/io/Connection.java
@@ -83,6 +83,18 @@
         return closed && !aborted;
     }
 
+    /** Runs a task of this connection unless it is closed. An exception in it closes only this connection. */
+    protected final void closeOnException(Runnable task) {
+        try {
+            if (isOpen()) {
+                task.run();
+            }
+        } catch (RuntimeException e) {
+            log.internalError(e);
+            close();
+        }
+    }
+
     /** Closes the connection, if it was ever open. */
     public final void close() {
         if (channel != null) {
--- a/core/src/main/java/stonelb/io/DecodeQueue.java
+++ b/core/src/main/java/stonelb/io/DecodeQueue.java
@@ -54,12 +54,15 @@
 
     private void decodeInTurn() {
         double endsAt = clock.now() + MAX_MS_PER_ITERATION;
-        while (!decoders.isEmpty() && clock.now() < endsAt) {
-            decoders.poll().run();
-        }
-        scheduled = !decoders.isEmpty();
-        if (scheduled) {
-            nextIteration.run(this::decodeInTurn);
+        try {
+            while (!decoders.isEmpty() && clock.now() < endsAt) {
+                decoders.poll().run();
+            }
+        } finally { // whatever one decoder throws, the others get their turn
+            scheduled = !decoders.isEmpty();
+            if (scheduled) {
+                nextIteration.run(this::decodeInTurn);
+            }
         }
     }
 }
--- a/core/src/test/java/stonelb/core/RequestTableTest.java
+++ b/core/src/test/java/stonelb/core/RequestTableTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.ref.WeakReference;
@@ -42,6 +43,7 @@
     private final List<RuntimeException> faults = new ArrayList<>();
     private boolean abandonedAfterSend = true;
     private boolean connectorThrows;
+    private boolean connectorRunsOutOfMemory;
     private final TimerQueue timers = new TimerQueue(new TimerQueue.Alarm() {
         @Override
         public double now() {
@@ -73,6 +75,9 @@
                     if (connectorThrows) {
                         throw new IllegalStateException("exception of the connector");
                     }
+                    if (connectorRunsOutOfMemory) {
+                        throw new OutOfMemoryError("no network buffer");
+                    }
                     startedAttempts.add(attempt);
                 }
 
@@ -296,6 +301,17 @@
         assertEquals(1, startedAttempts.size(), "the next request is forwarded");
     }
 
+    /** Exhausted network buffers raise an Error; the engine then refused every later event, and nothing was answered. */
+    @Test
+    void requestsAreForwardedAfterErrorInEngine() {
+        listEndpoints(1);
+        connectorRunsOutOfMemory = true;
+        assertThrows(OutOfMemoryError.class, () -> submit(READ, 700));
+        connectorRunsOutOfMemory = false;
+        submit(READ, 700);
+        assertEquals(1, startedAttempts.size());
+    }
+
     @Test
     void exceptionWhileSendingResponseDoesNotAffectOtherRequests() {
         listEndpoints(2);
--- a/core/src/test/java/stonelb/io/DecodeQueueTest.java
+++ b/core/src/test/java/stonelb/io/DecodeQueueTest.java
@@ -1,6 +1,7 @@
 package stonelb.io;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
@@ -26,6 +27,20 @@
         }
     }
 
+    /** A decoder that throws must not stop the decoding of the other connections. */
+    @Test
+    void othersAreDecodedAfterOneHasThrown() {
+        queue.add(
+                () -> {
+                    throw new IllegalStateException("thrown by a decoder");
+                },
+                currentIteration::add);
+        queue.add(() -> turnsTaken[0]++, currentIteration::add);
+        assertThrows(IllegalStateException.class, () -> currentIteration.poll().run());
+        nextIteration.poll().run();
+        assertEquals(1, turnsTaken[0]);
+    }
+
     @Test
     void connectionsTakeTurnsWithinTheTimeOfAnIteration() {
         for (int i = 0; i < CONNECTIONS; i++) {
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
@@ -80,18 +80,41 @@
         return isOpen();
     }
 
-    /** Sends the attempt's request. The connection must be idle. */
-    final void send(Attempt newAttempt) {
+    /**
+     * Sends the attempt's request. The connection must be idle.
+     *
+     * @return false if there is no memory for the request; nothing was sent then
+     */
+    final boolean send(Attempt newAttempt) {
+        OutboundRequest request = (OutboundRequest) newAttempt.request();
+        ByteBuf out = encode(request, newAttempt.deadline());
+        if (out == null) {
+            return false;
+        }
         attempt = newAttempt;
         idleBeforeAttemptMs = used ? pool.now() - idleSince : NEVER_IDLE;
         used = true;
         newAttempt.connection(this);
-        OutboundRequest request = (OutboundRequest) newAttempt.request();
         beforeRequest(request);
-        ByteBuf out = buffer(REQUEST_BUFFER_BYTES);
-        long remainingMs = Math.max(1, (long) (newAttempt.deadline() - pool.now()));
-        request.writeTo(out, remainingMs, pool.authority());
         requestWrite = send(out);
+        return true;
+    }
+
+    /** The request with the time left until its deadline, or null if the memory for network buffers is exhausted. */
+    private ByteBuf encode(OutboundRequest request, double deadline) {
+        ByteBuf out = null;
+        try {
+            out = buffer(REQUEST_BUFFER_BYTES);
+            long remainingMs = Math.max(1, (long) (deadline - pool.now()));
+            request.writeTo(out, remainingMs, pool.authority());
+            return out;
+        } catch (OutOfMemoryError e) {
+            log.warn("network buffers exhausted", "requests are not sent until buffers are released");
+            if (out != null) {
+                out.release();
+            }
+            return null;
+        }
     }
 
     /** Queries the write's future, since a listener on it may be notified too late. */
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
@@ -105,12 +105,11 @@
 
     /** Writes the attempt, if it may still be sent, and returns whether it did. No attempt is written anywhere else. */
     private boolean sendOn(EndpointConnection connection, Attempt attempt) {
-        if (!connections.maySend(attempt)) {
+        boolean sent = connections.maySend(attempt) && connection.send(attempt);
+        if (!sent) {
             connections.attemptEnded(attempt, Outcome.NOT_SENT, null);
-            return false;
         }
-        connection.send(attempt);
-        return true;
+        return sent;
     }
 
     /** Cancels the attempt and returns whether the endpoint may execute its request. */
--- a/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/frontend/ClientConnection.java
@@ -79,16 +79,19 @@
     /** Writes responses that could not be written before, and decodes buffered input. */
     private void resume() {
         writeReadyResponses();
-        try {
-            if (isOpen() && lifecycle.acceptsRequests()) {
+        closeOnException(() -> {
+            try {
                 readMessages();
+            } catch (MalformedInputException e) {
+                onMalformed(e.getMessage());
             }
-        } catch (MalformedInputException e) {
-            onMalformed(e.getMessage());
-        }
+        });
     }
 
     private void readMessages() throws MalformedInputException {
+        if (!lifecycle.acceptsRequests()) {
+            return;
+        }
         double turnEnd = frontend.now() + DecodeQueue.TURN_MS;
         boolean incomplete = false;
         while (lifecycle.acceptsRequests()
@@ -180,16 +183,9 @@
         responses.add(response);
     }
 
-    /** Writes the responses that are ready, in order. An exception in one of them closes only this connection. */
+    /** Writes the responses that are ready, in order. */
     final void writeReadyResponses() {
-        try {
-            if (isOpen()) {
-                responses.writeReady();
-            }
-        } catch (RuntimeException e) {
-            log.internalError(e);
-            close();
-        }
+        closeOnException(responses::writeReady);
     }
 
     @Override
@@ -372,13 +368,11 @@
         } else if (lifecycle.isQuiescing()) {
             // The selector may already have reported input, which is then read in this event loop iteration although
             // reading has stopped.
-            channel().eventLoop().execute(this::shutDownIfStillQuiescing);
-        }
-    }
-
-    private void shutDownIfStillQuiescing() {
-        if (isOpen() && lifecycle.isQuiescing() && responses.isFlushed()) {
-            shutDownOutput();
+            channel().eventLoop().execute(() -> {
+                if (isOpen() && lifecycle.isQuiescing() && responses.isFlushed()) {
+                    shutDownOutput();
+                }
+            });
         }
     }
 
