Each protocol has its own limit on connections to plan servers

Cause: one limit, of the share of one protocol, for both; HTTP held all 162 connections (sockets of the process, three looks), RESP2 attempts waited 100 ms at each of six endpoints. Fix: a ConnectionLimit for each protocol, as the division of the sockets has it. EndpointConnectTest.eachProtocolHasItsOwnConnectionLimit failed before (no connection in 5 s). With RESP2 alone nothing changes.

--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnectionPool.java
@@ -51,6 +51,10 @@
         return connections.now();
     }
 
+    private ConnectionLimit limit() {
+        return connections.limit(protocol);
+    }
+
     MemoryBudget memory() {
         return connections.memory();
     }
@@ -88,7 +92,7 @@
         if (connection == null) {
             waitingAttempts.add(attempt);
             connectIfNeeded();
-            if (connections.awaitsCapacity(this)) {
+            if (limit().isAwaitedBy(this)) {
                 connections.scheduleAfter(MAX_CAPACITY_WAIT_MS, (now, token) -> expireUnlessConnecting(attempt));
             }
         } else if (!sendOn(connection, attempt)) {
@@ -147,12 +151,12 @@
         if (!needsConnection()) {
             return;
         }
-        if (!connections.ensureCapacity()) {
-            connections.awaitCapacity(this);
+        if (!connections.ensureCapacity(protocol)) {
+            limit().await(this);
             return;
         }
         openCount++;
-        connections.addToOpenCount(1);
+        limit().add(1);
         connectingCount++;
         connections.connect(address, newConnection(), this);
     }
@@ -162,7 +166,7 @@
     }
 
     /**
-     * One more connection may be opened, or one to another endpoint is idle and can make room.
+     * One more connection in this protocol may be opened, or one to another endpoint is idle and can make room.
      *
      * @return whether this pool needs it
      */
@@ -199,7 +203,7 @@
     private void retryConnect(Throwable cause) {
         connections.log().warn("connection not opened", endpointName + ", " + cause.getMessage());
         openCount--;
-        connections.addToOpenCount(-1);
+        limit().add(-1);
         double backoffMs = LOCAL_FAILURE_BACKOFF_MS * (1 << localFailures++);
         connections.scheduleAfter(backoffMs, (now, token) -> {
             connectingCount--;
@@ -210,7 +214,7 @@
     /** Called when a connection could not be opened, or was closed before anything could be written to it. */
     void connectFailed() {
         openCount--;
-        connections.addToOpenCount(-1);
+        limit().add(-1);
         connectingCount--;
         Attempt attempt = waitingAttempts.poll();
         if (attempt != null) {
@@ -218,7 +222,7 @@
             connections.attemptEnded(attempt, Outcome.CONNECT_FAILED, null);
         }
         connectIfNeeded();
-        connections.capacityAvailable();
+        limit().capacityAvailable();
     }
 
     /** See {@link IdleReuseLimit}. */
@@ -274,15 +278,15 @@
             }
         }
         idleConnections.addLast(connection);
-        connections.capacityAvailable();
+        limit().capacityAvailable();
     }
 
     void connectionClosed(EndpointConnection connection) {
         openCount--;
-        connections.addToOpenCount(-1);
+        limit().add(-1);
         idleConnections.remove(connection);
         connectIfNeeded();
-        connections.capacityAvailable();
+        limit().capacityAvailable();
     }
 
     void attemptEnded(Attempt attempt, Outcome outcome, Response response) {
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnections.java
@@ -1,8 +1,8 @@
 package stonelb.gateway.endpoint;
 
 import java.net.InetSocketAddress;
+import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import stonelb.core.Attempt;
@@ -48,22 +48,16 @@
     private final int httpPort;
     private final IdleReuseLimit idleReuseLimit;
     private final Map<Long, KnownEndpoint> endpoints = new HashMap<>();
-    /**
-     * Pools with attempts that wait because the limit allowed no new connection, in the order in which they started to
-     * wait.
-     */
-    private final Set<EndpointConnectionPool> poolsAwaitingCapacity = new LinkedHashSet<>();
+    private final Map<OutboundRequest.Protocol, ConnectionLimit> limits = new EnumMap<>(OutboundRequest.Protocol.class);
 
     private RequestTable requests;
-    /** Connections to all endpoints that are open or being opened. */
-    private int openCount;
 
     /**
      * Creates the connector without opening anything.
      *
      * @param connectTimeoutMs the connect timeout, in milliseconds
      * @param idleTimeoutMs the time after which endpoints close an idle connection, in milliseconds
-     * @param maxConnections limit on the connections to all endpoints together
+     * @param maxConnections limit on the connections to all endpoints in one protocol
      * @param httpPort the endpoints' port for HTTP; 0 where HTTP is not used
      */
     public EndpointConnections(
@@ -78,6 +72,9 @@
         this.connectTimeoutMs = connectTimeoutMs;
         this.idleTimeoutMs = idleTimeoutMs;
         this.maxConnections = maxConnections;
+        for (OutboundRequest.Protocol protocol : PROTOCOLS) {
+            limits.put(protocol, new ConnectionLimit(maxConnections));
+        }
         this.httpPort = httpPort;
         idleReuseLimit = new IdleReuseLimit(maxIdleMs());
     }
@@ -220,8 +217,9 @@
         return log;
     }
 
-    void addToOpenCount(int change) {
-        openCount += change;
+    /** The limit on the connections in a protocol. */
+    ConnectionLimit limit(OutboundRequest.Protocol protocol) {
+        return limits.get(protocol);
     }
 
     /**
@@ -231,20 +229,18 @@
      *
      * @return whether one more connection may be opened
      */
-    boolean ensureCapacity() {
-        if (openCount < maxConnections) {
+    boolean ensureCapacity(OutboundRequest.Protocol protocol) {
+        if (!limit(protocol).isReached()) {
             return true;
         }
         EndpointConnectionPool oldestPool = null;
         EndpointConnection oldest = null;
         for (KnownEndpoint endpoint : endpoints.values()) {
-            for (OutboundRequest.Protocol protocol : PROTOCOLS) {
-                EndpointConnectionPool pool = endpoint.pool(protocol);
-                EndpointConnection connection = pool == null ? null : pool.oldestIdle();
-                if (connection != null && (oldest == null || connection.idleSince() < oldest.idleSince())) {
-                    oldestPool = pool;
-                    oldest = connection;
-                }
+            EndpointConnectionPool pool = endpoint.pool(protocol);
+            EndpointConnection connection = pool == null ? null : pool.oldestIdle();
+            if (connection != null && (oldest == null || connection.idleSince() < oldest.idleSince())) {
+                oldestPool = pool;
+                oldest = connection;
             }
         }
         if (oldest != null) {
@@ -253,29 +249,6 @@
         return oldest != null;
     }
 
-    /** Registers the pool to be called once another connection may be opened. */
-    void awaitCapacity(EndpointConnectionPool pool) {
-        poolsAwaitingCapacity.add(pool);
-    }
-
-    boolean awaitsCapacity(EndpointConnectionPool pool) {
-        return poolsAwaitingCapacity.contains(pool);
-    }
-
-    /**
-     * Called when a connection was closed or became idle; lets the pool that has waited longest open one in its
-     * place.
-     */
-    void capacityAvailable() {
-        while (!poolsAwaitingCapacity.isEmpty()) {
-            EndpointConnectionPool pool = poolsAwaitingCapacity.iterator().next();
-            poolsAwaitingCapacity.remove(pool);
-            if (pool.connectWithFreedCapacity()) {
-                return;
-            }
-        }
-    }
-
     int maxConnectionsPerEndpoint() {
         return Math.max(MIN_CONNECTIONS_PER_ENDPOINT, maxConnections / Math.max(1, endpoints.size()));
     }
--- a/gateway/src/test/java/stonelb/gateway/endpoint/EndpointConnectTest.java
+++ b/gateway/src/test/java/stonelb/gateway/endpoint/EndpointConnectTest.java
@@ -128,6 +128,24 @@
         }
     }
 
+    /** Requests of one frontend must not take the connections that requests of the other frontend need. */
+    @Test
+    void eachProtocolHasItsOwnConnectionLimit() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout(5_000);
+            clockRunningSinceNanos = System.nanoTime();
+            start(listener, 2, 1);
+            loop.execute(() -> requests.submit(new NonIdempotentRequest(OutboundRequest.Protocol.HTTP)));
+            Socket http = listener.accept();
+            assertEquals('x', http.getInputStream().read());
+            loop.execute(() -> requests.submit(new NonIdempotentRequest()));
+            Socket resp = listener.accept();
+            assertEquals('x', resp.getInputStream().read());
+            StubServer.write(resp.getOutputStream(), "*1\r\n$2\r\nok\r\n");
+            assertEquals("ok", results.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
     /**
      * An attempt that waits at the connection limit must end early enough for another endpoint to be tried. It was
      * never sent, so its request counts as not executed.
