Complete responses that wait hold up the reading of long ones, also of the first

Cause: the budget granted a reservation whenever none was held, so that long responses were read one by one while complete ones waited behind a silent plan server. Fix: the first reservation ignores other incomplete messages only.

--- a/core/src/main/java/stonelb/core/MemoryBudget.java
+++ b/core/src/main/java/stonelb/core/MemoryBudget.java
@@ -51,6 +51,10 @@
         private final long limitBytes;
         private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
         private long heldBytes;
+
+        /** The part of them that is held for incomplete messages. */
+        private long incompleteBytes;
+
         private int reservations;
 
         /** A task that waits until it can reserve memory. */
@@ -62,7 +66,12 @@
 
         /** Creates an account that holds nothing. */
         public Account open() {
-            return new Account(this);
+            return new Account(this, false);
+        }
+
+        /** Creates an account for incomplete messages, which may reserve memory to complete them. */
+        public Account openForIncomplete() {
+            return new Account(this, true);
         }
 
         /** Whether that many more bytes are within the limit. */
@@ -80,9 +89,21 @@
             return heldBytes;
         }
 
-        /** One reservation is always granted: incomplete messages alone could use up the limit, and none would end. */
+        /**
+         * The first reservation does not depend on other incomplete messages: they alone could use up the limit, and
+         * none would be completed.
+         */
         private boolean mayReserve(long bytes) {
-            return reservations == 0 || fits(bytes);
+            long ignoredBytes = reservations == 0 ? incompleteBytes : 0;
+            return fits(bytes - ignoredBytes);
+        }
+
+        private void add(long change, boolean incomplete) {
+            heldBytes += change;
+            incompleteBytes += incomplete ? change : 0;
+            if (change < 0) {
+                runWaiting();
+            }
         }
 
         private void runWaiting() {
@@ -94,12 +115,14 @@
 
     /** What one connection or request holds. */
     public static final class Account {
+        private final boolean incomplete;
         private Share share;
         private long bytes;
         private boolean reserved;
 
-        private Account(Share share) {
+        private Account(Share share, boolean incomplete) {
             this.share = share;
+            this.incomplete = incomplete;
         }
 
         /** Sets the bytes that are held; ends a reservation. */
@@ -110,10 +133,7 @@
             }
             long change = newBytes - bytes;
             bytes = newBytes;
-            share.heldBytes += change;
-            if (change < 0) {
-                share.runWaiting();
-            }
+            share.add(change, incomplete);
         }
 
         /** Sets the bytes that are held, and in which share. */
--- a/core/src/test/java/stonelb/core/MemoryBudgetTest.java
+++ b/core/src/test/java/stonelb/core/MemoryBudgetTest.java
@@ -25,7 +25,7 @@
         private final List<LongMessage> started;
 
         LongMessage(MemoryBudget.Share share, List<LongMessage> started, int firstBytes) {
-            account = share.open();
+            account = share.openForIncomplete();
             this.started = started;
             account.set(firstBytes);
         }
@@ -50,6 +50,18 @@
         assertEquals(0, budget.responses().heldBytes());
     }
 
+    /** review/9: messages were read on one by one while the complete ones before them were not taken. */
+    @Test
+    void completeMessagesHoldUpEvenTheFirstReservation() {
+        List<LongMessage> started = new ArrayList<>();
+        MemoryBudget.Account complete = budget.responses().open();
+        complete.set(SHARE_BYTES - LongMessage.LENGTH / 2);
+        new LongMessage(budget.responses(), started, 100).start();
+        assertEquals(0, started.size());
+        complete.set(100);
+        assertEquals(1, started.size());
+    }
+
     /** The first parts of many messages can exceed the limit; without a reservation beyond it, no message would end. */
     @Property(seed = "46", tries = 100)
     void messagesThatWaitAreReadInOrderAndAllAreReadToTheirEnd(@ForAll long seed) {
--- a/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/stonelb/gateway/endpoint/EndpointConnection.java
@@ -62,7 +62,7 @@
         super(MAX_INPUT_BYTES, log);
         this.pool = pool;
         incarnation = pool.incarnation();
-        memory = pool.memory().responses().open();
+        memory = pool.memory().responses().openForIncomplete();
     }
 
     /** The incarnation of the endpoint that this connection was opened to. */
--- a/gateway/src/main/java/stonelb/gateway/platform/PlatformRequest.java
+++ b/gateway/src/main/java/stonelb/gateway/platform/PlatformRequest.java
@@ -30,8 +30,15 @@
         this.arguments = arguments;
         this.parsed = parsed;
         clientRequestId = new String(arguments.get(CommandArguments.REQUEST_ID), StandardCharsets.ISO_8859_1);
-        sizeBytes = OVERHEAD_BYTES
-                + arguments.stream().mapToInt(argument -> argument.length).sum();
+        sizeBytes = sizeBytes(arguments);
+    }
+
+    private static int sizeBytes(List<byte[]> arguments) {
+        int bytes = OVERHEAD_BYTES;
+        for (byte[] argument : arguments) {
+            bytes += argument.length;
+        }
+        return bytes;
     }
 
     /** The request id chosen by the client. */
